--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -901,7 +901,7 @@
             // A fence that was raised for a lost send, or a new term, is shown to the worker at
             // once instead of with its next report.
             let unseen = m.seen_token < m.token(term);
-            if m.outbox.is_empty() && !(unseen && !m.tasks.is_empty()) {
+            if m.outbox.is_empty() && (!unseen || m.tasks.is_empty()) {
                 continue;
             }
             m.busy = true;
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -54,6 +54,16 @@
         self.return_machines(now);
     }
 
+    /// Whether all of several machines that should report have been silent for a while: more
+    /// likely this node can't be reached than that all of them failed at once.
+    pub fn deaf(&self, now: Time) -> bool {
+        let silence = self.site.report + self.site.report + Span::secs(1);
+        let mut up = self.machines.iter().filter(|m| m.state == MachineState::Up).peekable();
+        now.since(self.started_at) > silence
+            && up.peek().is_some()
+            && up.all(|m| now.since(m.last_report) > silence)
+    }
+
     /// Marks machines that have to go: silent, overdue, slow, faulty.
     fn judge_machines(&mut self, now: Time) {
         let patience = self.tun.patience;
--- a/crates/walnutlug/src/node.rs
+++ b/crates/walnutlug/src/node.rs
@@ -25,6 +25,9 @@
 use crate::state::{leader_value, Class, State, StateError};
 use crate::{users, workers};
 
+/// How long a leader that gave way leaves the lead to others.
+const ASIDE: Span = Span::secs(15);
+
 /// What another node last said of itself.
 struct PeerState {
     heard: Instant,
@@ -122,6 +125,11 @@
         self.peer_states.borrow().values().any(|p| p.served && p.heard.elapsed() < fresh)
     }
 
+    fn workers_go_elsewhere(&self) -> bool {
+        let fresh = Duration::from_secs(4);
+        self.peer_states.borrow().values().any(|p| p.redirected > 0 && p.heard.elapsed() < fresh)
+    }
+
     /// Ready once the node can decide. In an outage for all it stays ready and says 503 with a
     /// time to come again: users are served sooner so than through the balancer's growing pauses.
     /// Alone refused while others are served, it is of no use to anybody.
@@ -143,7 +151,7 @@
     }
 
     /// Lets the core decide and carries its commands out.
-    pub fn pump(self: &Self) {
+    pub fn pump(&self) {
         self.wake.notify_one();
     }
 
@@ -642,6 +650,14 @@
             let now = node.now();
             let mut guard = node.scheduler.borrow_mut();
             let Some(s) = guard.as_mut() else { return };
+            if s.deaf(now) && node.workers_go_elsewhere() {
+                drop(guard);
+                // Cut off from the workers while they reach another node: leading from here
+                // serves nobody. Another may, and this one holds back for a while.
+                node.leadership.borrow_mut().stand_aside(now, ASIDE);
+                node.give_up_lead("no worker reaches this node, but they reach others");
+                return;
+            }
             s.tick(now);
             s.look_at_fleet(now);
             let commands = s.take_commands();
@@ -727,7 +743,3 @@
         }
     }
 }
-
-/// How long a leader that gave way leaves the lead to others.
-#[allow(dead_code)]
-const ASIDE: Span = Span::secs(10);
--- a/crates/walnutlug/src/state.rs
+++ b/crates/walnutlug/src/state.rs
@@ -328,11 +328,12 @@
         }
         assert_eq!(polls, 8);
         assert!(p.take(now, Class::Dispatch, 1.0).is_none());
-        assert!(p.take(now, Class::Dispatch, 40.0).is_some(), "the write bucket is not full");
+        assert!(p.take(now, Class::Dispatch, 40.0).is_none(), "leaves a debt of writes");
+        assert!(p.take(now, Class::Dispatch, 1.0).is_some(), "which has to be earned first");
         for _ in 0..5 {
             assert!(p.take(now, Class::Leadership, 0.0).is_none(), "never waits");
         }
         let wait = p.take(now, Class::Poll, 0.0).expect("must wait");
-        assert!(p.take(now + wait + Duration::from_secs(1), Class::Poll, 0.0).is_none());
+        assert!(p.take(now + wait + Duration::from_secs(2), Class::Poll, 0.0).is_none());
     }
 }
--- a/crates/walnutlug/src/users.rs
+++ b/crates/walnutlug/src/users.rs
@@ -106,8 +106,8 @@
         Ok(parsed) => parsed,
         Err(e) => return Answer::error(400, e.to_string()),
     };
-    if let Some(known) = node.desk.known(&name) {
-        return known_answer(&node, &name, known);
+    if node.desk.known(&name).is_some() {
+        return known_answer(&node, &name).await;
     }
     let Some(fault) = impossible(&node, &spec) else {
         return Answer::later("the machine types are not known yet");
@@ -121,7 +121,7 @@
             }
             Ok(Some(_)) => {
                 node.desk.learn(&name, Known::Accepted);
-                known_answer(&node, &name, Known::Accepted)
+                known_answer(&node, &name).await
             }
             Err(e) => Answer::later(&e.to_string()),
         };
@@ -138,7 +138,7 @@
     node.submit_times.borrow_mut().saturating_record(started.elapsed().as_millis() as u64);
     match accepted {
         Ok(Ok(Accept::New)) => Answer::json(201, &job_answer(&name, Stage::Queued, None)),
-        Ok(Ok(Accept::Known)) => known_answer(&node, &name, Known::Accepted),
+        Ok(Ok(Accept::Known)) => known_answer(&node, &name).await,
         _ => Answer::later("the submission can't be recorded now"),
     }
 }
@@ -152,11 +152,16 @@
     Some(spec.impossible(&node.settings.site.teams, &types))
 }
 
-/// The answer to a repeated submission: at least that it is accepted.
-fn known_answer(node: &Node, name: &str, known: Known) -> Answer {
-    let stage = match known {
-        Known::Ended(end) => ended_stage(end),
-        Known::Accepted => open_stage(node, name).0,
+/// The answer to a repeated submission. Like a poll it has to ask: another node may have told
+/// the user meanwhile that the job has ended.
+async fn known_answer(node: &Rc<Node>, name: &str) -> Answer {
+    let stage = match status(node, name).await {
+        Status::Ended(end) => ended_stage(end),
+        Status::Open => open_stage(node, name).0,
+        // Accepted for certain, so never "not found", whatever the check could not tell.
+        Status::NeverAccepted | Status::Unclear => {
+            return Answer::later("the job's state can't be read now");
+        }
     };
     Answer::json(200, &job_answer(name, stage, None))
 }
