--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -177,6 +177,10 @@
                     todo -= 1;
                 }
             }
+            let boot = self.quickest_boot(ix);
+            if urgency.slack > self.tun.rent_slack.as_secs() + boot {
+                continue; // Time enough for running work to make room.
+            }
             let ordinary = urgency.slack < self.tun.ordinary_slack.as_secs();
             while todo > 0 && paper.len() < 400 {
                 let Some(offer) = self.best_offer(now, ix, ordinary, &paper) else { break };
@@ -219,6 +223,13 @@
         }
     }
 
+    /// The shortest boot among the types that the job allows, in seconds.
+    fn quickest_boot(&self, ix: JobIx) -> f64 {
+        let Some(job) = self.job(ix) else { return 0.0 };
+        let fits = self.types.iter().filter(|t| job.spec.fits_type(t));
+        fits.map(|t| t.boot_s).min_by(f64::total_cmp).unwrap_or(0.0)
+    }
+
     fn paper_of(&self, offer: &Offer, new: bool) -> Paper {
         let kind = &self.types[offer.0];
         Paper {
--- a/crates/core/src/tunables.rs
+++ b/crates/core/src/tunables.rs
@@ -19,6 +19,9 @@
     pub idle_ordinary: Span,
     /// A job with less time than this to its latest start may rent ordinary machines.
     pub ordinary_slack: Span,
+    /// A job with less time than this to its latest start, beyond a boot, may rent spot machines;
+    /// with more, it waits for running work to make room.
+    pub rent_slack: Span,
     /// A job with less time than this to its latest start may stop work of lower priority.
     pub preempt_slack: Span,
     /// Spare room kept for classes with a wait aim, in jobs of the usual size.
@@ -44,6 +47,7 @@
             idle_spot: Span::secs(40),
             idle_ordinary: Span::secs(12),
             ordinary_slack: Span::secs(45),
+            rent_slack: Span::secs(60),
             preempt_slack: Span::secs(8),
             headroom: 0.5,
             boot_patience: 3.0,
--- a/deploy/walnutlug.lua
+++ b/deploy/walnutlug.lua
@@ -10,6 +10,7 @@
   idle_spot = 40.0,
   idle_ordinary = 12.0,
   ordinary_slack = 45.0,
+  rent_slack = 60.0,
   preempt_slack = 8.0,
   headroom = 0.5,
   boot_patience = 3.0,
