--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -181,7 +181,11 @@
             if urgency.slack > self.tun.rent_slack.as_secs() + boot {
                 continue; // Time enough for running work to make room.
             }
-            let ordinary = urgency.slack < self.tun.ordinary_slack.as_secs();
+            // Where an ordinary machine is several times as dear as a spot one, it is only for work
+            // that it can still bring home in time, and that nothing else will.
+            let ordinary = self.ordinary_is_cheap()
+                || (urgency.finish_slack < self.tun.ordinary_slack.as_secs()
+                    && urgency.finish_slack > 0.5 * boot);
             while todo > 0 && paper.len() < 400 {
                 let Some(offer) = self.best_offer(now, ix, ordinary, &paper) else { break };
                 let mut p = self.paper_of(&offer, true);
@@ -223,6 +227,15 @@
         }
     }
 
+    /// Whether ordinary machines cost little more than spot ones, over all types.
+    fn ordinary_is_cheap(&self) -> bool {
+        let (ordinary, spot) = self
+            .types
+            .iter()
+            .fold((0.0, 0.0), |(o, s), t| (o + t.price / t.cpus, s + t.spot_price / t.cpus));
+        ordinary <= self.tun.premium * spot
+    }
+
     /// The shortest boot among the types that the job allows, in seconds.
     fn quickest_boot(&self, ix: JobIx) -> f64 {
         let Some(job) = self.job(ix) else { return 0.0 };
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -18,6 +18,8 @@
     pub hopeless: bool,
     /// Seconds until the job has to start to meet its aim.
     pub slack: f64,
+    /// The same without the aim on starting: what a machine that has yet to boot can still help.
+    pub finish_slack: f64,
     pub accepted: Time,
 }
 
@@ -63,6 +65,7 @@
         if let Some(within) = self.site.finish_aim(&spec.class) {
             slack = slack.min(within.as_secs() - age - run);
         }
+        let finish_slack = slack;
         if let Some(within) = self.site.wait_aim(&spec.class) {
             slack = slack.min(within.as_secs() - age);
         }
@@ -79,7 +82,7 @@
                 && within(cpus, spec.cpus, team.cpus)
                 && within(gpus, spec.gpus, team.gpus)
         });
-        Urgency { rank: spec.rank, owed, hopeless, slack, accepted: job.accepted }
+        Urgency { rank: spec.rank, owed, hopeless, slack, finish_slack, accepted: job.accepted }
     }
 
     /// Jobs with tasks to place, the most urgent first.
--- a/crates/core/src/tunables.rs
+++ b/crates/core/src/tunables.rs
@@ -19,6 +19,8 @@
     pub idle_ordinary: Span,
     /// A job with less time than this to its latest start may rent ordinary machines.
     pub ordinary_slack: Span,
+    /// Ordinary machines up to this many times as dear as spot ones are rented as freely.
+    pub premium: f64,
     /// A job with less time than this to its latest start, beyond a boot, may rent spot machines;
     /// with more, it waits for running work to make room.
     pub rent_slack: Span,
@@ -47,6 +49,7 @@
             idle_spot: Span::secs(40),
             idle_ordinary: Span::secs(12),
             ordinary_slack: Span::secs(45),
+            premium: 3.0,
             rent_slack: Span::secs(60),
             preempt_slack: Span::secs(8),
             headroom: 0.5,
--- a/crates/walnutlug/src/script.rs
+++ b/crates/walnutlug/src/script.rs
@@ -100,6 +100,7 @@
     f.span("idle_spot", &mut t.idle_spot, 0.0, 86_400.0);
     f.span("idle_ordinary", &mut t.idle_ordinary, 0.0, 86_400.0);
     f.span("ordinary_slack", &mut t.ordinary_slack, 0.0, 86_400.0);
+    f.number("premium", &mut t.premium, 0.0, 1_000.0);
     f.span("rent_slack", &mut t.rent_slack, 0.0, 86_400.0);
     f.span("preempt_slack", &mut t.preempt_slack, 0.0, 86_400.0);
     f.number("headroom", &mut t.headroom, 0.0, 10.0);
