--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -814,8 +814,18 @@
         if let Some(ix) = pending.end {
             if let Some(Some(job)) = self.jobs.get_mut(ix as usize) {
                 job.over = true;
-                let name = job.name.clone();
-                self.note(format!("{name} is done"));
+                let deadline = job.spec.deadline_s.map(|d| format!(" of {d:.0} s"));
+                let text = format!(
+                    "{} is done after {:.1} s{}: class {}, {} tasks, estimate {:.0} s, ran {:.0} s",
+                    job.name,
+                    now.since(job.accepted).as_secs(),
+                    deadline.unwrap_or_default(),
+                    job.spec.class,
+                    job.spec.tasks,
+                    job.spec.estimate_s,
+                    job.run_times.0 / f64::from(job.run_times.1.max(1)),
+                );
+                self.note(text);
             }
         }
         if let Some((ix, last)) = pending.cleanup {
--- a/deploy/walnutlug.lua
+++ b/deploy/walnutlug.lua
@@ -13,7 +13,7 @@
   premium = 3.0,
   rent_slack = 60.0,
   preempt_slack = 8.0,
-  headroom = 2,
+  headroom = 0.5,
   boot_patience = 3.0,
   sick_after = 3,
   slow_factor = 2.0,
