--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -8,6 +8,11 @@
 use crate::task::{MachineIx, Phase};
 use crate::time::{Span, Time};
 
+/// Seconds of lost work that a job's missed deadline counts for when choosing what to stop.
+const SPOILT: f64 = 300.0;
+/// Seconds that it takes to place a stopped task again.
+const RESTART: f64 = 10.0;
+
 /// Where a job stands in the queue. Smaller comes first.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Urgency {
@@ -286,8 +291,11 @@
                     } else {
                         ran
                     };
-                    // What is nearly complete frees its room by itself.
-                    victims.push((lost * other.spec.cpus, id, other.spec.cpus));
+                    let mut cost = lost * other.spec.cpus;
+                    if self.would_be_late(now, other, ran) {
+                        cost += SPOILT * other.spec.cpus;
+                    }
+                    victims.push((cost, id, other.spec.cpus));
                 }
             }
             victims.sort_by(|a, b| (a.0 / a.2.max(0.1)).total_cmp(&(b.0 / b.2.max(0.1))));
@@ -305,6 +313,15 @@
         }
     }
 
+    /// Whether the job is in time as things stand and would not be if a task that has run for
+    /// `ran` seconds had to start again.
+    fn would_be_late(&self, now: Time, job: &Job, ran: f64) -> bool {
+        let Some(deadline) = job.spec.deadline_s else { return false };
+        let left = deadline - now.since(job.accepted).as_secs();
+        let run = self.expected_run(job);
+        left >= (run - ran).max(0.0) && left < run + RESTART
+    }
+
     /// The protocol's reasons for stopping one job's task for another's.
     fn may_stop(&self, urgency: Urgency, job: &Job, other: &Job) -> bool {
         if other.spec.rank < job.spec.rank {
