--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -20,10 +20,25 @@
     pub down_until: Time,
     last_look: Time,
     pub returning: u32,
+    usage: Usage,
     /// Whether a whole machine list was read under this term.
     pub listed: bool,
 }
 
+/// What the money of the last minute went to, in hours of each kind's price.
+#[derive(Debug, Default)]
+struct Usage {
+    since: Option<Time>,
+    last: Option<Time>,
+    spot: f64,
+    ordinary: f64,
+    booting: f64,
+    idle_spot: f64,
+    idle_ordinary: f64,
+    fetching: f64,
+    running: f64,
+}
+
 /// A machine that is coming or could be rented, for trying placements on paper.
 struct Paper {
     kind: usize,
@@ -45,6 +60,7 @@
             return;
         }
         self.fleet.last_look = now;
+        self.account(now);
         self.judge_machines(now);
         // A new leader first hears what machines there are.
         if self.fleet.listed || now.since(self.started_at) > Span::secs(10) {
@@ -64,6 +80,54 @@
             && up.all(|m| now.since(m.last_report) > silence)
     }
 
+    /// Tells once a minute what the fleet's money went to.
+    fn account(&mut self, now: Time) {
+        let mut u = std::mem::take(&mut self.fleet.usage);
+        let hours = u.last.map_or(0.0, |t| now.since(t).as_secs() / 3_600.0);
+        u.last = Some(now);
+        for m in &self.machines {
+            let Some(kind) = m.kind.and_then(|k| self.types.get(k)) else { continue };
+            if m.state == MachineState::Gone {
+                continue;
+            }
+            let money = hours * if m.spot { kind.spot_price } else { kind.price };
+            *(if m.spot { &mut u.spot } else { &mut u.ordinary }) += money;
+            if m.state == MachineState::Booting {
+                u.booting += money;
+                continue;
+            }
+            // By the resource that is scarcest on the machine, so that a full one is not idle.
+            let part = |takes: f64, of: f64| if of > 0.0 { (takes / of).min(1.0) } else { 0.0 };
+            let idle = 1.0 - part(m.cpus, kind.cpus).max(part(m.memory, kind.memory_gb));
+            *(if m.spot { &mut u.idle_spot } else { &mut u.idle_ordinary }) += money * idle;
+            for id in &m.tasks {
+                let Some(job) = self.job(id.0) else { continue };
+                let share = money * part(job.spec.cpus, kind.cpus);
+                if job.started.contains_key(&id.1) {
+                    u.running += share;
+                } else {
+                    u.fetching += share;
+                }
+            }
+        }
+        let since = *u.since.get_or_insert(now);
+        if now.since(since) >= Span::secs(60) {
+            self.note(format!(
+                "fleet: cost {:.3} (spot {:.3}, ordinary {:.3}): running {:.3}, starting {:.3}, booting {:.3}, idle spot {:.3}, idle ordinary {:.3}",
+                u.spot + u.ordinary,
+                u.spot,
+                u.ordinary,
+                u.running,
+                u.fetching,
+                u.booting,
+                u.idle_spot,
+                u.idle_ordinary
+            ));
+            u = Usage { since: Some(now), last: Some(now), ..Usage::default() };
+        }
+        self.fleet.usage = u;
+    }
+
     /// Marks machines that have to go: silent, overdue, slow, faulty.
     fn judge_machines(&mut self, now: Time) {
         let patience = self.tun.patience;
