Standing machines where ordinary ones are cheap

Room for five quick jobs and 200 s of idling where an ordinary machine costs at most three times a spot one.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -267,7 +267,7 @@
         let free: f64 = paper.iter().map(|p| p.cpus.max(0.0)).sum();
         let mut lacking = self.headroom_cpus() - free;
         while lacking > SLACK && paper.len() < 400 {
-            let Some(offer) = self.any_spot(now, &paper) else { break };
+            let Some(offer) = self.any_offer(now, &paper) else { break };
             let p = self.paper_of(&offer, true);
             lacking -= p.cpus;
             paper.push(p);
@@ -292,7 +292,7 @@
     }
 
     /// Whether ordinary machines cost little more than spot ones, over all types.
-    fn ordinary_is_cheap(&self) -> bool {
+    pub(crate) fn ordinary_is_cheap(&self) -> bool {
         let (ordinary, spot) = self
             .types
             .iter()
@@ -396,16 +396,18 @@
         best.map(|b| b.2)
     }
 
-    fn any_spot(&self, now: Time, paper: &[Paper]) -> Option<Offer> {
+    /// The cheapest machine to stand by, an ordinary one only where those are cheap.
+    fn any_offer(&self, now: Time, paper: &[Paper]) -> Option<Offer> {
+        let kinds: &[bool] = if self.ordinary_is_cheap() { &[true, false] } else { &[true] };
         let mut best: Option<(f64, usize, Offer)> = None;
         for (k, kind) in self.types.iter().enumerate() {
-            for zone in &kind.zones {
-                let offer = (k, zone.clone(), true);
+            for (zone, &spot) in kind.zones.iter().flat_map(|z| kinds.iter().map(move |s| (z, s))) {
+                let offer = (k, zone.clone(), spot);
                 if !self.open_offer(now, &offer) || kind.cpus <= 0.0 {
                     continue;
                 }
-                let there = paper.iter().filter(|p| p.zone == *zone && p.spot).count();
-                let price = kind.spot_price.max(0.0) / kind.cpus;
+                let there = paper.iter().filter(|p| p.zone == *zone && p.spot == spot).count();
+                let price = if spot { kind.spot_price } else { kind.price }.max(0.0) / kind.cpus;
                 if best.as_ref().is_none_or(|b| price.total_cmp(&b.0).then(there.cmp(&b.1)).is_lt())
                 {
                     best = Some((price, there, offer));
@@ -427,10 +429,15 @@
             .filter_map(|m| Some(self.types[m.kind?].cpus - m.cpus))
             .sum();
         let headroom = self.headroom_cpus();
+        let cheap = self.ordinary_is_cheap();
         let mut idle: Vec<usize> = (0..self.machines.len())
             .filter(|&i| {
                 let m = &self.machines[i];
-                let limit = if m.spot { self.tun.idle_spot } else { self.tun.idle_ordinary };
+                let limit = match (cheap, m.spot) {
+                    (true, _) => self.tun.idle_cheap,
+                    (false, true) => self.tun.idle_spot,
+                    (false, false) => self.tun.idle_ordinary,
+                };
                 self.open_for_work(now, m) && m.tasks.is_empty() && now.since(m.idle_since) > limit
             })
             .collect();
@@ -438,7 +445,7 @@
         for i in idle {
             let cpus = self.machines[i].kind.map_or(0.0, |k| self.types[k].cpus);
             // Ordinary machines are too dear to stand by.
-            if self.machines[i].spot && free - cpus < headroom {
+            if (cheap || self.machines[i].spot) && free - cpus < headroom {
                 break;
             }
             free -= cpus;
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -158,6 +158,7 @@
     /// The fullest machine that fits. Fullness counts in quarters of a machine, so that ties are
     /// common; they go to a machine with the image, then to the cheapest.
     fn choose(&self, now: Time, job: &Job, only_zone: Option<&str>) -> Option<MachineIx> {
+        let dear = !self.ordinary_is_cheap();
         let mut best: Option<(i64, i64, f64, MachineIx)> = None;
         for (ix, m) in self.machines.iter().enumerate() {
             if !self.open_for_work(now, m)
@@ -169,7 +170,8 @@
             }
             let Some(kind) = m.kind.and_then(|k| self.types.get(k)) else { continue };
             let left = (kind.cpus - m.cpus).max(0.0) / kind.cpus.max(SLACK);
-            let fullness = -((left * 4.0).ceil() as i64);
+            let tier = if dear && m.spot { 100 } else { 0 };
+            let fullness = tier - ((left * 4.0).ceil() as i64);
             let cached = i64::from(m.images.contains(&job.spec.image));
             let price = if m.spot { kind.spot_price } else { kind.price } / kind.cpus.max(SLACK);
             let key = (fullness, cached, -price, ix as MachineIx);
@@ -339,10 +341,12 @@
 
     /// Room that a job of a class with a wait aim may need at any moment.
     pub fn headroom_cpus(&self) -> f64 {
+        let jobs =
+            if self.ordinary_is_cheap() { self.tun.headroom_cheap } else { self.tun.headroom };
         self.sizes
             .iter()
             .filter(|(class, _)| self.site.wait_aim(class).is_some_and(|w| w < Span::secs(30)))
-            .map(|(_, size)| size * self.tun.headroom)
+            .map(|(_, size)| size * jobs)
             .fold(0.0, f64::max)
     }
 }
--- a/crates/core/src/tunables.rs
+++ b/crates/core/src/tunables.rs
@@ -28,6 +28,11 @@
     pub preempt_slack: Span,
     /// Spare room kept for classes with a wait aim, in jobs of the usual size.
     pub headroom: f64,
+    /// The same where ordinary machines are cheap (see `premium`): there standing by costs little
+    /// beside what a boot costs in time.
+    pub headroom_cheap: f64,
+    /// Idle time before a return where ordinary machines are cheap.
+    pub idle_cheap: Span,
     /// Boot times (of the type's own) after which a machine that never came up is returned.
     pub boot_patience: f64,
     /// Failed tasks of different jobs that make a machine suspect.
@@ -53,6 +58,8 @@
             rent_slack: Span::secs(60),
             preempt_slack: Span::secs(8),
             headroom: 0.5,
+            headroom_cheap: 5.0,
+            idle_cheap: Span::secs(200),
             boot_patience: 3.0,
             sick_after: 3,
             slow_factor: 2.0,
