Image before fullness where the aim on starting leaves no time for a fetch; no headroom in a lull

Cause: tank-alarms missed 2 s by a fetch; two spot machines stood by for five minutes after the last job.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -219,8 +219,8 @@
     pub fleet: crate::fleet::Fleet,
     /// Learned ratio of run time to the owner's estimate, by class: sum of logs and count.
     pub ratios: HashMap<String, (f64, f64)>,
-    /// Learned size of a job, in processors, by class.
-    pub sizes: HashMap<String, f64>,
+    /// Learned size of a job, in processors, by class, and when one came last.
+    pub sizes: HashMap<String, (f64, Time)>,
 }
 
 /// How many tasks one stored chunk holds, so that its value stays below the limit even with long
@@ -304,8 +304,9 @@
         let chunk_size = chunk_size.min(u64::from(u32::MAX)) as u32;
         let age = Span(wall_us.saturating_sub(at));
         let size = f64::from(spec.tasks) * spec.cpus;
-        let known = self.sizes.entry(spec.class.clone()).or_insert(size);
-        *known += 0.2 * (size - *known);
+        let known = self.sizes.entry(spec.class.clone()).or_insert((size, now));
+        known.0 += 0.2 * (size - known.0);
+        known.1 = known.1.max(now - age);
         let chunks = spec.tasks.div_ceil(chunk_size) as usize;
         let job = Job {
             name: name.to_owned(),
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -248,7 +248,8 @@
             // Where an ordinary machine is several times as dear as a spot one, it is only for work
             // that it can still bring home in time, and that nothing else will.
             let ordinary = self.ordinary_is_cheap()
-                || (urgency.finish_slack < self.tun.ordinary_slack.as_secs()
+                || (!self.others_can_give_way(ix, f64::from(todo) * job.spec.cpus)
+                    && urgency.finish_slack < self.tun.ordinary_slack.as_secs()
                     && urgency.finish_slack > 0.5 * boot);
             while todo > 0 && paper.len() < 400 {
                 let Some(offer) = self.best_offer(now, ix, ordinary, &paper) else { break };
@@ -265,7 +266,7 @@
             }
         }
         let free: f64 = paper.iter().map(|p| p.cpus.max(0.0)).sum();
-        let mut lacking = self.headroom_cpus() - free;
+        let mut lacking = self.headroom_cpus(now) - free;
         while lacking > SLACK && paper.len() < 400 {
             let Some(offer) = self.any_offer(now, &paper) else { break };
             let p = self.paper_of(&offer, true);
@@ -291,6 +292,14 @@
         }
     }
 
+    /// Whether work of lower priority holds the room that the job needs, so that stopping it serves
+    /// the job sooner than any machine that has yet to boot.
+    fn others_can_give_way(&self, ix: JobIx, cpus: f64) -> bool {
+        let Some(job) = self.job(ix) else { return false };
+        let lower = self.jobs.iter().flatten().filter(|j| j.spec.rank < job.spec.rank && !j.over);
+        lower.map(|j| f64::from(j.placed) * j.spec.cpus).sum::<f64>() >= cpus
+    }
+
     /// Whether ordinary machines cost little more than spot ones, over all types.
     pub(crate) fn ordinary_is_cheap(&self) -> bool {
         let (ordinary, spot) = self
@@ -428,7 +437,7 @@
             .filter(|m| self.open_for_work(now, m))
             .filter_map(|m| Some(self.types[m.kind?].cpus - m.cpus))
             .sum();
-        let headroom = self.headroom_cpus();
+        let headroom = self.headroom_cpus(now);
         let cheap = self.ordinary_is_cheap();
         let mut idle: Vec<usize> = (0..self.machines.len())
             .filter(|&i| {
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -8,6 +8,8 @@
 use crate::task::{MachineIx, Phase};
 use crate::time::{Span, Time};
 
+/// Without a job of a class for this long, no room is kept for its next one.
+const LULL: Span = Span::secs(120);
 /// Seconds of lost work that a job's missed deadline counts for when choosing what to stop.
 const SPOILT: f64 = 300.0;
 /// Seconds that it takes to place a stopped task again.
@@ -158,7 +160,8 @@
     /// The fullest machine that fits. Fullness counts in quarters of a machine, so that ties are
     /// common; they go to a machine with the image, then to the cheapest.
     fn choose(&self, now: Time, job: &Job, only_zone: Option<&str>) -> Option<MachineIx> {
-        let dear = !self.ordinary_is_cheap();
+        // Where the aim on starting leaves no time for a fetch, the image comes before fullness.
+        let quick = self.site.wait_aim(&job.spec.class).is_some();
         let mut best: Option<(i64, i64, f64, MachineIx)> = None;
         for (ix, m) in self.machines.iter().enumerate() {
             if !self.open_for_work(now, m)
@@ -170,9 +173,10 @@
             }
             let Some(kind) = m.kind.and_then(|k| self.types.get(k)) else { continue };
             let left = (kind.cpus - m.cpus).max(0.0) / kind.cpus.max(SLACK);
-            let tier = if dear && m.spot { 100 } else { 0 };
-            let fullness = tier - ((left * 4.0).ceil() as i64);
-            let cached = i64::from(m.images.contains(&job.spec.image));
+            let has_image = m.images.contains(&job.spec.image);
+            let ahead = if quick && has_image { 100 } else { 0 };
+            let fullness = ahead - ((left * 4.0).ceil() as i64);
+            let cached = i64::from(has_image);
             let price = if m.spot { kind.spot_price } else { kind.price } / kind.cpus.max(SLACK);
             let key = (fullness, cached, -price, ix as MachineIx);
             if best
@@ -340,13 +344,14 @@
     }
 
     /// Room that a job of a class with a wait aim may need at any moment.
-    pub fn headroom_cpus(&self) -> f64 {
+    pub fn headroom_cpus(&self, now: Time) -> f64 {
         let jobs =
             if self.ordinary_is_cheap() { self.tun.headroom_cheap } else { self.tun.headroom };
         self.sizes
             .iter()
             .filter(|(class, _)| self.site.wait_aim(class).is_some_and(|w| w < Span::secs(30)))
-            .map(|(_, size)| size * jobs)
+            .filter(|(_, (_, last))| now.since(*last) < LULL)
+            .map(|(_, (size, _))| size * jobs)
             .fold(0.0, f64::max)
     }
 }
--- a/deploy/walnutlug.lua
+++ b/deploy/walnutlug.lua
@@ -9,7 +9,7 @@
   patience = 6.5,
   idle_spot = 20,
   idle_ordinary = 12.0,
-  ordinary_slack = 45,
+  ordinary_slack = 45.0,
   premium = 3.0,
   rent_slack = 60.0,
   preempt_slack = 8.0,
