--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -12,6 +12,8 @@
 const LULL: Span = Span::secs(120);
 /// Seconds of lost work that a job's missed deadline counts for when choosing what to stop.
 const SPOILT: f64 = 300.0;
+/// Seconds after which a missed aim on starting is given up, and the one on finishing counts.
+const GRACE: f64 = 1.5;
 /// Seconds that it takes to place a stopped task again.
 const RESTART: f64 = 10.0;
 
@@ -74,7 +76,11 @@
         }
         let finish_slack = slack;
         if let Some(within) = self.site.wait_aim(&spec.class) {
-            slack = slack.min(within.as_secs() - age);
+            // A start that is late already gains nothing from being hurried further.
+            let left = within.as_secs() - age;
+            if left > -GRACE || slack == f64::INFINITY {
+                slack = slack.min(left);
+            }
         }
         if slack == f64::INFINITY {
             // Without any aim, age alone counts, behind everything that is pressed for time.
