Tables that don't grow with the uptime; no redirect to a leader that is gone

Gone machines leave their place after ten minutes, jobs have numbers that are never used again, what a node remembers of jobs and classes is bounded, and so are peer connections.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -202,7 +202,9 @@
     pub site: std::rc::Rc<Site>,
     pub tun: std::rc::Rc<Tunables>,
     pub term: u64,
-    pub jobs: Vec<Option<Job>>,
+    /// By a number that is never used again, so that a late answer can't mean another job.
+    pub jobs: BTreeMap<JobIx, Job>,
+    next_job: JobIx,
     pub by_ref: HashMap<String, JobIx>,
     pub machines: Vec<Machine>,
     pub by_name: HashMap<String, MachineIx>,
@@ -236,6 +238,10 @@
 
 /// Report intervals, each up to a quarter longer than told, after which a worker is overdue.
 pub const OVERDUE: f64 = 1.4;
+/// How long a machine that is gone is remembered, against late reports of it.
+const FORGET_AFTER: Span = Span::secs(600);
+/// Classes to learn about; more than any deployment has, fewer than would hurt.
+const MOST_CLASSES: usize = 1_000;
 const MAX_TXN_BYTES: usize = 40 * 1024;
 const WRITE_EVIDENCE_AFTER: Span = Span::millis(1_000);
 
@@ -251,7 +257,8 @@
             site,
             tun,
             term,
-            jobs: Vec::new(),
+            jobs: BTreeMap::new(),
+            next_job: 0,
             by_ref: HashMap::new(),
             machines: Vec::new(),
             by_name: HashMap::new(),
@@ -279,7 +286,7 @@
     }
 
     pub fn job(&self, ix: JobIx) -> Option<&Job> {
-        self.jobs.get(ix as usize)?.as_ref()
+        self.jobs.get(&ix)
     }
 
     // ---- what is loaded -------------------------------------------------------------------
@@ -303,6 +310,10 @@
         }
         let chunk_size = chunk_size.min(u64::from(u32::MAX)) as u32;
         let age = Span(wall_us.saturating_sub(at));
+        if self.sizes.len() > MOST_CLASSES {
+            self.sizes.clear();
+            self.ratios.clear();
+        }
         let size = f64::from(spec.tasks) * spec.cpus;
         let known = self.sizes.entry(spec.class.clone()).or_insert((size, now));
         known.0 += 0.2 * (size - known.0);
@@ -329,8 +340,9 @@
             run_times: (0.0, 0),
             spec,
         };
-        let ix = self.jobs.len() as JobIx;
-        self.jobs.push(Some(job));
+        let ix = self.next_job;
+        self.next_job += 1;
+        self.jobs.insert(ix, job);
         self.by_ref.insert(name.to_owned(), ix);
         self.dirty = true;
         true
@@ -341,7 +353,7 @@
         let Some((name, chunk)) = keys::split_run(key) else { return false };
         let Some(&ix) = self.by_ref.get(name) else { return false };
         let Some(records) = value["t"].as_array() else { return false };
-        let Some(Some(job)) = self.jobs.get_mut(ix as usize) else { return false };
+        let Some(job) = self.jobs.get_mut(&ix) else { return false };
         if chunk >= job.chunks.len() {
             return false;
         }
@@ -381,8 +393,7 @@
         if let Some(&ix) = self.by_name.get(name) {
             return ix;
         }
-        let ix = self.machines.len() as MachineIx;
-        self.machines.push(Machine {
+        let machine = Machine {
             name: name.to_owned(),
             address: String::new(),
             kind: None,
@@ -412,7 +423,28 @@
             failures: BTreeSet::new(),
             draining: None,
             return_sent: None,
-        });
+        };
+        // A machine that is long gone leaves its place to a new one, or the table would grow for
+        // as long as a leader leads. Nothing may refer to it any more.
+        let gone = |m: &Machine| {
+            m.state == MachineState::Gone
+                && m.tasks.is_empty()
+                && !m.busy
+                && now.since(m.last_report) > FORGET_AFTER
+        };
+        let free =
+            if self.machines.len() >= 64 { self.machines.iter().position(gone) } else { None };
+        let ix = match free {
+            Some(ix) => {
+                self.by_name.remove(&self.machines[ix].name);
+                self.machines[ix] = machine;
+                ix as MachineIx
+            }
+            None => {
+                self.machines.push(machine);
+                self.machines.len() as MachineIx - 1
+            }
+        };
         self.by_name.insert(name.to_owned(), ix);
         ix
     }
@@ -420,7 +452,7 @@
     /// The job has ended for its users: nothing of it is started any more.
     pub fn job_over(&mut self, now: Time, name: &str) {
         let Some(&ix) = self.by_ref.get(name) else { return };
-        let Some(Some(job)) = self.jobs.get_mut(ix as usize) else { return };
+        let Some(job) = self.jobs.get_mut(&ix) else { return };
         if job.over {
             return;
         }
@@ -437,7 +469,7 @@
 
     /// Counts a placed task on its machine, for its team and its zone.
     fn attach(&mut self, id: TaskId, m: MachineIx) {
-        let Some(Some(job)) = self.jobs.get_mut(id.0 as usize) else { return };
+        let Some(job) = self.jobs.get_mut(&id.0) else { return };
         let machine = &mut self.machines[m as usize];
         if !machine.tasks.insert(id) {
             return;
@@ -455,7 +487,7 @@
 
     /// The reverse of [`Scheduler::attach`]; only called on proof.
     fn detach(&mut self, now: Time, id: TaskId) {
-        let Some(Some(job)) = self.jobs.get_mut(id.0 as usize) else { return };
+        let Some(job) = self.jobs.get_mut(&id.0) else { return };
         let machine = &mut self.machines[job.tasks[id.1 as usize].machine as usize];
         if !machine.tasks.remove(&id) {
             return;
@@ -486,7 +518,7 @@
 
     /// Every change of a task's state goes through here, so that the sums always agree with it.
     fn step(&mut self, now: Time, id: TaskId, input: Input) -> bool {
-        let Some(Some(job)) = self.jobs.get_mut(id.0 as usize) else { return false };
+        let Some(job) = self.jobs.get_mut(&id.0) else { return false };
         let Some(task) = job.tasks.get_mut(id.1 as usize) else { return false };
         let before = task.phase;
         if !task.step(now, input) {
@@ -520,7 +552,7 @@
     pub(crate) fn dispatch(&mut self, now: Time, id: TaskId, machine: MachineIx) {
         let session = self.machines[machine as usize].session;
         if self.step(now, id, Input::Dispatch { machine, session }) {
-            if let Some(Some(job)) = self.jobs.get_mut(id.0 as usize) {
+            if let Some(job) = self.jobs.get_mut(&id.0) {
                 let chunk = job.chunk_of(id.1);
                 // Due at once: a start waits for nothing but its own write.
                 job.chunks[chunk].dirty = Some(Time(0));
@@ -530,7 +562,7 @@
 
     /// Tells a task's machine to stop it; repeated with every report until it is gone.
     pub(crate) fn stop(&mut self, now: Time, id: TaskId, grace_s: f64) {
-        let Some(Some(job)) = self.jobs.get(id.0 as usize) else { return };
+        let Some(job) = self.jobs.get(&id.0) else { return };
         let task = job.tasks[id.1 as usize];
         if task.phase == Phase::Dispatching && task.token == 0 {
             // Not sent yet, and with the job over or the task wanted elsewhere it never will be:
@@ -585,20 +617,20 @@
     fn write_round(&mut self, now: Time) {
         let ops = self.site.txn_ops.max(1);
         let mut batch = Batch::default();
-        for ix in 0..self.jobs.len() {
+        let all: Vec<JobIx> = self.jobs.keys().copied().collect();
+        for ix in all {
             if self.txns.len() >= self.tun.txns_in_flight as usize {
                 self.dirty = true;
                 break;
             }
-            let Some(job) = &self.jobs[ix] else { continue };
-            let ix32 = ix as JobIx;
+            let Some(job) = self.jobs.get(&ix) else { continue };
             if job.over {
-                self.clean_up(ix32);
+                self.clean_up(ix);
                 continue;
             }
             if job.done == job.spec.tasks {
                 if !job.ending && !job.chunks.iter().any(|c| c.in_flight) {
-                    self.write_end(ix32);
+                    self.write_end(ix);
                 }
                 continue;
             }
@@ -619,7 +651,7 @@
                         return;
                     }
                 }
-                self.add_chunk(&mut batch, ix32, chunk);
+                self.add_chunk(&mut batch, ix, chunk);
             }
         }
         self.commit(batch);
@@ -631,7 +663,7 @@
 
     fn add_chunk(&mut self, batch: &mut Batch, ix: JobIx, chunk: usize) {
         let nonce = self.nonce();
-        let Some(Some(job)) = self.jobs.get_mut(ix as usize) else { return };
+        let Some(job) = self.jobs.get_mut(&ix) else { return };
         let base = chunk as u32 * job.chunk_size;
         let end = (base + job.chunk_size).min(job.spec.tasks);
         let mut records = Vec::with_capacity((end - base) as usize);
@@ -700,7 +732,7 @@
 
     /// All tasks are done: the job's end, written once by whoever comes first.
     fn write_end(&mut self, ix: JobIx) {
-        let Some(Some(job)) = self.jobs.get_mut(ix as usize) else { return };
+        let Some(job) = self.jobs.get_mut(&ix) else { return };
         job.ending = true;
         let key = keys::end(&job.name);
         let mut batch = Batch { end: Some(ix), ..Batch::default() };
@@ -713,7 +745,7 @@
     /// description goes last, so that a chunk never outlives it.
     fn clean_up(&mut self, ix: JobIx) {
         let ops = self.site.txn_ops.max(1);
-        let Some(Some(job)) = self.jobs.get_mut(ix as usize) else { return };
+        let Some(job) = self.jobs.get_mut(&ix) else { return };
         if job.dropping || job.placed > 0 || job.chunks.iter().any(|c| c.in_flight) {
             return;
         }
@@ -809,13 +841,13 @@
     fn committed(&mut self, now: Time, pending: PendingTxn, mark: u64) {
         self.stalled_until = Time(0);
         for &(ix, chunk) in &pending.chunks {
-            if let Some(Some(job)) = self.jobs.get_mut(ix as usize) {
+            if let Some(job) = self.jobs.get_mut(&ix) {
                 job.chunks[chunk].mark = mark;
                 job.chunks[chunk].in_flight = false;
             }
         }
         for &(ix, index) in &pending.finishes {
-            if let Some(Some(job)) = self.jobs.get_mut(ix as usize) {
+            if let Some(job) = self.jobs.get_mut(&ix) {
                 job.recorded[index as usize] = true;
             }
         }
@@ -823,7 +855,7 @@
             self.send_start(id);
         }
         if let Some(ix) = pending.end {
-            if let Some(Some(job)) = self.jobs.get_mut(ix as usize) {
+            if let Some(job) = self.jobs.get_mut(&ix) {
                 job.over = true;
                 let deadline = job.spec.deadline_s.map(|d| format!(" of {d:.0} s"));
                 let text = format!(
@@ -841,10 +873,10 @@
         }
         if let Some((ix, last)) = pending.cleanup {
             if last {
-                if let Some(job) = self.jobs[ix as usize].take() {
+                if let Some(job) = self.jobs.remove(&ix) {
                     self.by_ref.remove(&job.name);
                 }
-            } else if let Some(Some(job)) = self.jobs.get_mut(ix as usize) {
+            } else if let Some(job) = self.jobs.get_mut(&ix) {
                 job.dropping = false;
             }
         }
@@ -904,7 +936,7 @@
     /// The transaction certainly had no effect: what it would have started is pending again.
     fn failed(&mut self, now: Time, pending: PendingTxn) {
         for &(ix, chunk) in &pending.chunks {
-            if let Some(Some(job)) = self.jobs.get_mut(ix as usize) {
+            if let Some(job) = self.jobs.get_mut(&ix) {
                 job.chunks[chunk].in_flight = false;
                 job.chunks[chunk].dirty.get_or_insert(now);
             }
@@ -913,12 +945,12 @@
             self.step(now, id, Input::Retract);
         }
         if let Some(ix) = pending.end {
-            if let Some(Some(job)) = self.jobs.get_mut(ix as usize) {
+            if let Some(job) = self.jobs.get_mut(&ix) {
                 job.ending = false;
             }
         }
         if let Some((ix, _)) = pending.cleanup {
-            if let Some(Some(job)) = self.jobs.get_mut(ix as usize) {
+            if let Some(job) = self.jobs.get_mut(&ix) {
                 job.dropping = false;
                 // Which chunks still exist is not known any more; dropping a key that does not
                 // exist does no harm.
@@ -1150,7 +1182,7 @@
                 Some(e) => {
                     if e.state == TaskStage::Running {
                         let image = job.spec.image.clone();
-                        if let Some(Some(job)) = self.jobs.get_mut(id.0 as usize) {
+                        if let Some(job) = self.jobs.get_mut(&id.0) {
                             job.started.entry(id.1).or_insert(now);
                         }
                         self.has_image(m, image);
@@ -1234,7 +1266,7 @@
 
     pub(crate) fn rezone(&mut self, tasks: &[TaskId], old: &str, new: &str) {
         for id in tasks {
-            if let Some(Some(job)) = self.jobs.get_mut(id.0 as usize) {
+            if let Some(job) = self.jobs.get_mut(&id.0) {
                 if let Some(n) = job.zones.get_mut(old) {
                     *n -= 1;
                     if *n == 0 {
@@ -1281,7 +1313,7 @@
                     slot.0 = slot.0 * 0.98 + (ran / estimate).clamp(0.05, 20.0).ln();
                     slot.1 = slot.1 * 0.98 + 1.0;
                 }
-                if let Some(Some(job)) = self.jobs.get_mut(id.0 as usize) {
+                if let Some(job) = self.jobs.get_mut(&id.0) {
                     job.run_times.0 += ran;
                     job.run_times.1 += 1;
                 }
@@ -1297,7 +1329,7 @@
         }
         self.step(now, id, Input::Absent);
         let tun = self.tun.clone();
-        let Some(Some(job)) = self.jobs.get_mut(id.0 as usize) else { return };
+        let Some(job) = self.jobs.get_mut(&id.0) else { return };
         match cause {
             Cause::Error | Cause::Unknown | Cause::Other => {
                 job.errors += 1;
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -296,7 +296,7 @@
     /// the job sooner than any machine that has yet to boot.
     fn others_can_give_way(&self, ix: JobIx, cpus: f64) -> bool {
         let Some(job) = self.job(ix) else { return false };
-        let lower = self.jobs.iter().flatten().filter(|j| j.spec.rank < job.spec.rank && !j.over);
+        let lower = self.jobs.values().filter(|j| j.spec.rank < job.spec.rank && !j.over);
         lower.map(|j| f64::from(j.placed) * j.spec.cpus).sum::<f64>() >= cpus
     }
 
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -103,11 +103,9 @@
         let mut queue: Vec<(Urgency, JobIx)> = self
             .jobs
             .iter()
-            .enumerate()
-            .filter_map(|(ix, job)| {
-                let job = job.as_ref()?;
+            .filter_map(|(&ix, job)| {
                 let open = !job.over && !job.ending && job.pending() > 0 && now >= job.not_before;
-                open.then(|| (self.urgency(now, job), ix as JobIx))
+                open.then(|| (self.urgency(now, job), ix))
             })
             .collect();
         queue.sort_by(|a, b| a.0.order(&b.0).then(a.1.cmp(&b.1)));
@@ -239,7 +237,7 @@
                 self.dispatch(now, (ix, index), m);
                 index += 1;
             }
-            if let Some(Some(job)) = self.jobs.get_mut(ix as usize) {
+            if let Some(job) = self.jobs.get_mut(&ix) {
                 job.scan_from = index;
             }
             if stuck {
--- a/crates/walnutlug/src/node.rs
+++ b/crates/walnutlug/src/node.rs
@@ -94,6 +94,15 @@
         }
     }
 
+    /// The leader of that term leads no more. Workers aren't sent to it: it may be dead, and a
+    /// connection to it may hang.
+    fn forget_keeper(&self, term: u64) {
+        let mut keeper = self.keeper.borrow_mut();
+        if keeper.as_ref().is_some_and(|k| k.1 <= term) {
+            *keeper = None;
+        }
+    }
+
     pub fn tell_peers(&self, frame: &Frame) {
         let bytes = Rc::new(frame.encode());
         for queue in &self.peer_queues {
@@ -116,7 +125,11 @@
             }
             Frame::Progress { job, done, running } => self.desk.progress(&job, done, running),
             // Only a hint to look: what an end is, the state service tells.
-            Frame::Ended { .. } | Frame::NewJob { .. } => self.new_work.notify_one(),
+            Frame::Ended { job, .. } => {
+                self.desk.ended_elsewhere(&job);
+                self.new_work.notify_one();
+            }
+            Frame::NewJob { .. } => self.new_work.notify_one(),
         }
     }
 
@@ -364,14 +377,14 @@
         match node.state.get(Class::Leadership, keys::LEADER).await {
             Ok(Some(pair)) => {
                 node.ready_once.set(true);
-                let name = pair.value["node"].as_str().unwrap_or_default();
+                let name = pair.value["node"].as_str().unwrap_or_default().to_owned();
                 let own = pair.value["inc"].as_str() == Some(node.incarnation.as_str());
                 if own {
                     // Its lease is not held any more (an answer was lost): it will run out.
                     sleep(Duration::from_millis(300)).await;
                     continue;
                 }
-                node.learn_keeper(name, pair.mark);
+                node.learn_keeper(&name, pair.mark);
                 let hold = Duration::from_secs(10);
                 match node.state.watch(Class::Leadership, keys::LEADER, pair.mark, hold).await {
                     Ok(w) => {
@@ -380,6 +393,7 @@
                         );
                         if vacant {
                             info!("the leader key is gone");
+                            node.forget_keeper(pair.mark);
                         }
                     }
                     Err(_) => sleep(Duration::from_millis(300)).await,
@@ -618,7 +632,8 @@
         }
         let pace = Duration::from_millis(150);
         if opened.elapsed() < pace {
-            sleep(pace - opened.elapsed()).await;
+            // A node that took a job or a withdrawal hints that there is something to see.
+            let _ = timeout(pace - opened.elapsed(), node.new_work.notified()).await;
         }
     }
 }
--- a/crates/walnutlug/src/peers.rs
+++ b/crates/walnutlug/src/peers.rs
@@ -2,6 +2,7 @@
 //! number, a version and a length. All of it is hints. Losing or delaying any of it costs time
 //! and never a rule, so a frame that can't be read simply closes its connection.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -19,6 +20,8 @@
 const MAGIC: u32 = 0x4755_4c57;
 const VERSION: u16 = 1;
 const MOST: usize = 4096;
+/// Connections from peers at once, with room for stale ones.
+const MOST_OPEN: u32 = 64;
 
 #[derive(FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned, Clone, Copy)]
 #[repr(C)]
@@ -181,15 +184,31 @@
     Frame::decode(header.kind.get(), &body)
 }
 
+/// Counts a connection as closed when its task ends, however it ends.
+struct Closed(Rc<Cell<u32>>);
+
+impl Drop for Closed {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// Takes frames from other nodes.
 pub async fn listen(node: Rc<Node>, listener: TcpListener) {
+    let open = Rc::new(Cell::new(0));
     loop {
         let Ok((mut stream, _)) = listener.accept().await else {
             tokio::time::sleep(Duration::from_millis(100)).await;
             continue;
         };
+        if open.get() >= MOST_OPEN {
+            continue;
+        }
+        open.set(open.get() + 1);
+        let open = open.clone();
         let node = node.clone();
         tokio::task::spawn_local(async move {
+            let _closed = Closed(open);
             loop {
                 match timeout(Duration::from_secs(30), read_frame(&mut stream)).await {
                     Ok(Ok(Some(frame))) => node.peer_frame(frame),
--- a/crates/walnutlug/src/users.rs
+++ b/crates/walnutlug/src/users.rs
@@ -1,8 +1,7 @@
 //! The users' side: submissions, polls and withdrawals. Any node serves it, from the state
 //! service alone; what the leader and the other nodes tell only adds counts for display.
 //!
-//! No answer is ever older than one that any node gave before: what has ended is remembered for
-//! ever, and "not ended" is said only after the state service confirmed it.
+//! No answer is ever older than one that any node gave before: an end never changes, and "not ended" is said only after the state service confirmed it.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -60,15 +59,21 @@
     checking: Cell<bool>,
 }
 
+/// Jobs remembered at a node, at some hundred bytes each.
+const MOST_KNOWN: usize = 50_000;
 /// Time between two rounds of checks, so that many polls share a request.
 const CHECK_EVERY: Duration = Duration::from_millis(120);
 /// After this long an undecided request is refused, to be repeated by its user.
 const DECIDE_WITHIN: Duration = Duration::from_millis(2_500);
 
 impl Desk {
-    /// Remembers what is certain. An end is never forgotten and never changes.
+    /// Remembers what is certain. An end never changes, so it is never replaced.
     fn learn(&self, name: &str, known: Known) {
         let mut map = self.known.borrow_mut();
+        if map.len() > MOST_KNOWN {
+            // Only a memory of what the state service keeps for ever: it is asked again.
+            map.clear();
+        }
         match map.get(name) {
             Some(Known::Ended(_)) => {}
             _ => {
@@ -89,7 +94,16 @@
         if !is_job_ref(name) || self.known(name).is_some_and(|k| k != Known::Accepted) {
             return;
         }
-        self.progress.borrow_mut().insert(name.to_owned(), (done, running));
+        let mut progress = self.progress.borrow_mut();
+        if progress.len() > MOST_KNOWN {
+            progress.clear();
+        }
+        progress.insert(name.to_owned(), (done, running));
+    }
+
+    /// A job has ended, as another node tells: its counts are of no more use.
+    pub fn ended_elsewhere(&self, name: &str) {
+        self.progress.borrow_mut().remove(name);
     }
 }
 
