--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -228,6 +228,8 @@
                 paper.push(self.paper_of(offer, false));
             }
         }
+        let dear = !self.ordinary_is_cheap();
+        let mut soon_free = self.cpus_free_soon(now);
         for (urgency, ix) in self.queue(now) {
             let Some(job) = self.job(ix) else { continue };
             if job.errors > 0 && job.error_machines.len() >= 3 {
@@ -253,6 +255,12 @@
                     && urgency.finish_slack > 0.5 * boot);
             while todo > 0 && paper.len() < 400 {
                 let Some(offer) = self.best_offer(now, ix, ordinary, &paper) else { break };
+                if !offer.2 && dear && soon_free >= job.spec.cpus {
+                    // Room that running work frees before a machine could boot.
+                    soon_free -= job.spec.cpus;
+                    todo -= 1;
+                    continue;
+                }
                 let mut p = self.paper_of(&offer, true);
                 let before = todo;
                 while todo > 0 && self.paper_fits(ix, &p) {
@@ -292,6 +300,20 @@
         }
     }
 
+    /// Processors that running tasks should free within a boot's time. Those of quick classes don't
+    /// count: the next of their kind take their place.
+    fn cpus_free_soon(&self, now: Time) -> f64 {
+        let boots = self.types.iter().map(|t| t.boot_s);
+        let boot = boots.min_by(f64::total_cmp).unwrap_or(0.0) * 1.2;
+        let mut free = 0.0;
+        for job in self.jobs.values().filter(|j| !self.is_quick(&j.spec.class)) {
+            let run = self.expected_run(job);
+            let soon = job.started.values().filter(|&&t| run - now.since(t).as_secs() < boot);
+            free += soon.count() as f64 * job.spec.cpus;
+        }
+        free
+    }
+
     /// Whether work of lower priority holds the room that the job needs, so that stopping it serves
     /// the job sooner than any machine that has yet to boot.
     fn others_can_give_way(&self, ix: JobIx, cpus: f64) -> bool {
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -347,13 +347,18 @@
         })
     }
 
+    /// Whether the class is one whose tasks should start within a short time.
+    pub(crate) fn is_quick(&self, class: &str) -> bool {
+        self.site.wait_aim(class).is_some_and(|w| w < Span::secs(30))
+    }
+
     /// Room that a job of a class with a wait aim may need at any moment.
     pub fn headroom_cpus(&self, now: Time) -> f64 {
         let jobs =
             if self.ordinary_is_cheap() { self.tun.headroom_cheap } else { self.tun.headroom };
         self.sizes
             .iter()
-            .filter(|(class, _)| self.site.wait_aim(class).is_some_and(|w| w < Span::secs(30)))
+            .filter(|(class, _)| self.is_quick(class))
             .filter(|(_, (_, last))| now.since(*last) < LULL)
             .map(|(_, (size, _))| size * jobs)
             .fold(0.0, f64::max)
