Served means answered lately: an outage for all turns no node unready

Cause: a follower without users' requests went on telling its peers that it was served, and these turned unready. Each node now asks for something cheap every second if nothing else was answered.

--- a/crates/core/tests/starts.rs
+++ b/crates/core/tests/starts.rs
@@ -367,7 +367,7 @@
 #[test]
 fn a_take_over_asks_for_its_own_term_before_it_believes_an_absence() {
     let mut w = World::new(&[("n-1", "a"), ("n-2", "a")]);
-    let (name, (machine, token, session, calls)) = w.start_under_way(JOB);
+    let (name, (_, token, session, calls)) = w.start_under_way(JOB);
     let other = if name == "n-1" { "n-2" } else { "n-1" };
     w.take_over();
     let before = w.workers.get_mut(&name).expect("worker").report();
--- a/crates/walnutlug/src/node.rs
+++ b/crates/walnutlug/src/node.rs
@@ -335,6 +335,8 @@
         if leading {
             tell_progress(&node);
         }
+        let probe = node.clone();
+        tokio::task::spawn_local(async move { probe.state.probe().await });
         sleep(Duration::from_millis(1_000)).await;
     }
 }
--- a/crates/walnutlug/src/state.rs
+++ b/crates/walnutlug/src/state.rs
@@ -99,6 +99,9 @@
     last_fault: Cell<Option<Instant>>,
 }
 
+/// How old an answer may be to show that the service serves this node.
+const FRESH: Duration = Duration::from_millis(2_500);
+const PROBE_AFTER: Duration = Duration::from_millis(900);
 const ANSWER: Duration = Duration::from_millis(900);
 
 impl State {
@@ -124,11 +127,18 @@
         pacer.wps = (self.wps * part).max(2.0);
     }
 
-    /// Whether the service answers this node.
+    /// Whether the service answers this node, by an answer of the last seconds: a node that asked
+    /// for nothing doesn't know, and must not tell others that it is served.
     pub fn served(&self) -> bool {
-        match self.last_fault.get() {
-            None => true,
-            Some(fault) => self.last_ok.get() >= fault,
+        let fault = self.last_fault.get();
+        self.last_ok.get().elapsed() < FRESH && fault.is_none_or(|f| self.last_ok.get() >= f)
+    }
+
+    /// Asks for something cheap if nothing was answered lately, so that [`State::served`] is known
+    /// even where no users come.
+    pub async fn probe(&self) {
+        if self.last_ok.get().elapsed() > PROBE_AFTER {
+            let _ = self.get(Class::Leadership, walnutlug_core::job::keys::LEADER).await;
         }
     }
 
