--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -244,7 +244,10 @@
                 }
             }
             let boot = self.quickest_boot(ix);
-            if urgency.slack > self.tun.rent_slack.as_secs() + boot {
+            if urgency.slack > self.tun.rent_slack.as_secs() + boot
+                && now.since(job.accepted) < self.tun.rent_slack
+                && self.makes_room_for(now, ix)
+            {
                 continue; // Time enough for running work to make room.
             }
             // Where an ordinary machine is several times as dear as a spot one, it is only for work
@@ -314,6 +317,21 @@
         free
     }
 
+    /// Whether there is running work on machines that the job could use, so that waiting makes
+    /// sense. (Without this a job with time to spare waited on an empty fleet for machines that
+    /// nobody rented.)
+    fn makes_room_for(&self, now: Time, ix: JobIx) -> bool {
+        let Some(job) = self.job(ix) else { return false };
+        self.machines.iter().any(|m| {
+            let kind = m.kind.and_then(|k| self.types.get(k));
+            self.open_for_work(now, m)
+                && !m.tasks.is_empty()
+                && (job.spec.spot || !m.spot)
+                && job.spec.zone.as_ref().is_none_or(|z| *z == m.zone)
+                && kind.is_some_and(|k| job.spec.fits_type(k))
+        })
+    }
+
     /// Whether work of lower priority holds the room that the job needs, so that stopping it serves
     /// the job sooner than any machine that has yet to boot.
     fn others_can_give_way(&self, ix: JobIx, cpus: f64) -> bool {
--- a/crates/core/tests/starts.rs
+++ b/crates/core/tests/starts.rs
@@ -4,7 +4,7 @@
 
 use serde_json::json;
 use walnutlug_core::book::{Command, DirectOutcome, MachineState, Outcome};
-use walnutlug_core::job::keys;
+use walnutlug_core::job::{keys, JobSpec};
 use walnutlug_core::task::Phase;
 use walnutlug_core::wire::{Call, ListedMachine, MachineStage};
 use world::{spec, World};
@@ -538,3 +538,36 @@
     w.settle();
     assert_eq!(w.places().len(), 3);
 }
+
+/// A job with time to spare waits for running work to make room, but not on an empty fleet.
+#[test]
+fn a_job_with_time_to_spare_gets_a_machine_where_there_is_none() {
+    let mut w = World::new(&[]);
+    w.submit(JOB, &JobSpec { deadline_s: None, ..spec(6) });
+    w.leader.machine_list(w.now, &[]);
+    w.wait(1_000);
+    w.leader.look_at_fleet(w.now);
+    let asked = w.leader.take_commands();
+    assert!(asked.iter().any(|c| matches!(c, Command::Rent { .. })), "{asked:?}");
+}
+
+/// And it doesn't wait for ever for work that never ends.
+#[test]
+fn a_job_with_time_to_spare_does_not_wait_for_ever() {
+    let mut w = one_machine();
+    w.submit("req-000009", &spec(4));
+    w.settle();
+    w.submit(JOB, &JobSpec { deadline_s: None, ..spec(2) });
+    let mut rented_after = None;
+    for second in 0..90 {
+        w.wait(1_000);
+        w.report("n-1");
+        w.leader.machine_list(w.now, &[]);
+        w.leader.look_at_fleet(w.now);
+        let rents = |c: &Command| matches!(c, Command::Rent { .. });
+        if w.leader.take_commands().iter().any(rents) {
+            rented_after.get_or_insert(second);
+        }
+    }
+    assert!(rented_after.is_some_and(|s| (50..70).contains(&s)), "{rented_after:?}");
+}
