--- a/crates/walnutlug/src/http/client.rs
+++ b/crates/walnutlug/src/http/client.rs
@@ -36,12 +36,23 @@
     since: Instant,
 }
 
+/// What a scripted peer says to a request, in tests.
+#[cfg(test)]
+pub type Script = Box<dyn Fn(&str, &str, &[u8]) -> Result<Response, Failure>>;
+
 #[derive(Default)]
 pub struct Client {
     idle: RefCell<HashMap<SocketAddrV4, Vec<Idle>>>,
+    #[cfg(test)]
+    script: Option<Script>,
 }
 
 impl Client {
+    #[cfg(test)]
+    pub fn scripted(script: Script) -> Client {
+        Client { script: Some(script), ..Client::default() }
+    }
+
     pub async fn request(
         &self,
         addr: SocketAddrV4,
@@ -50,6 +61,10 @@
         body: &[u8],
         within: Duration,
     ) -> Result<Response, Failure> {
+        #[cfg(test)]
+        if let Some(script) = &self.script {
+            return script(method, path, body);
+        }
         let deadline = Instant::now() + within;
         let mut stream = match self.take_idle(addr) {
             Some(stream) => stream,
--- a/crates/walnutlug/src/node.rs
+++ b/crates/walnutlug/src/node.rs
@@ -68,6 +68,46 @@
 const CLOCK_BASE_US: u64 = 1 << 50;
 
 impl Node {
+    pub fn new(
+        settings: Settings,
+        tunables: Tunables,
+        client: Rc<Client>,
+        peer_queues: Vec<mpsc::Sender<Rc<Vec<u8>>>>,
+    ) -> std::io::Result<Node> {
+        let histogram = Histogram::new_with_bounds(1, 60_000, 2)
+            .map_err(|e| std::io::Error::other(e.to_string()))?;
+        Ok(Node {
+            tunables: Rc::new(tunables),
+            site: Rc::new(settings.site.clone()),
+            state: State::new(
+                client.clone(),
+                settings.state,
+                settings.state_rps,
+                settings.state_write_rps,
+            ),
+            cloud: Cloud::new(client.clone(), settings.cloud, settings.cloud_rps),
+            client,
+            leadership: RefCell::default(),
+            scheduler: RefCell::new(None),
+            types: RefCell::default(),
+            desk: users::Desk::default(),
+            new_work: Notify::new(),
+            redirected: Cell::new(0),
+            submit_times: RefCell::new(histogram),
+            wake: Notify::new(),
+            step_down: Notify::new(),
+            keeper: RefCell::new(None),
+            peer_states: RefCell::default(),
+            peer_queues,
+            incarnation: format!("{:016x}", rand::random::<u64>()),
+            requests: Cell::new(0),
+            epoch: Instant::now(),
+            ready_once: Cell::new(false),
+            told: RefCell::default(),
+            settings,
+        })
+    }
+
     pub fn now(&self) -> Time {
         Time(CLOCK_BASE_US + self.epoch.elapsed().as_micros() as u64)
     }
@@ -197,38 +237,7 @@
         tokio::task::spawn_local(peers::talk(peer.addr, rx));
     }
     let most = settings.fd_limit * 7 / 10;
-    let histogram = Histogram::new_with_bounds(1, 60_000, 2)
-        .map_err(|e| std::io::Error::other(e.to_string()))?;
-    let node = Rc::new(Node {
-        tunables: Rc::new(tunables),
-        site: Rc::new(settings.site.clone()),
-        state: State::new(
-            client.clone(),
-            settings.state,
-            settings.state_rps,
-            settings.state_write_rps,
-        ),
-        cloud: Cloud::new(client.clone(), settings.cloud, settings.cloud_rps),
-        client,
-        leadership: RefCell::default(),
-        scheduler: RefCell::new(None),
-        types: RefCell::default(),
-        desk: users::Desk::default(),
-        new_work: Notify::new(),
-        redirected: Cell::new(0),
-        submit_times: RefCell::new(histogram),
-        wake: Notify::new(),
-        step_down: Notify::new(),
-        keeper: RefCell::new(None),
-        peer_states: RefCell::default(),
-        peer_queues,
-        incarnation: format!("{:016x}", rand::random::<u64>()),
-        requests: Cell::new(0),
-        epoch: Instant::now(),
-        ready_once: Cell::new(false),
-        told: RefCell::default(),
-        settings,
-    });
+    let node = Rc::new(Node::new(settings, tunables, client, peer_queues)?);
     node.state.lead(false);
     tokio::task::spawn_local(peers::listen(node.clone(), internal));
     tokio::task::spawn_local(election(node.clone()));
@@ -431,19 +440,7 @@
         guards: vec![Guard { key: keys::LEADER.into(), mark: 0 }],
         apply: vec![Change::Put { put: keys::LEADER.into(), value, lease: Some(lease) }],
     };
-    let term = match node.state.commit(Class::Leadership, &txn).await {
-        Outcome::Committed { mark } => Some(mark),
-        Outcome::Conflict { .. } | Outcome::Lost => {
-            // If only the answer was lost, the key holds this node's own incarnation.
-            match node.state.get(Class::Leadership, keys::LEADER).await {
-                Ok(Some(p)) if p.value["inc"].as_str() == Some(node.incarnation.as_str()) => {
-                    Some(p.mark)
-                }
-                _ => None,
-            }
-        }
-        Outcome::Refused => None,
-    };
+    let term = create_leader_key(&node.state, &txn, &node.incarnation).await;
     let Some(term) = term else {
         // Ending the lease ends whatever a late copy of the transaction might yet create.
         let _ = node.state.release(lease).await;
@@ -460,6 +457,21 @@
     let _ = timeout(Duration::from_millis(500), node.state.release(lease)).await;
 }
 
+/// Creates the key, and tells the term if this node did. If only the answer was lost, the key holds
+/// this node's own incarnation.
+async fn create_leader_key(state: &State, txn: &Txn, incarnation: &str) -> Option<u64> {
+    match state.commit(Class::Leadership, txn).await {
+        Outcome::Committed { mark } => Some(mark),
+        Outcome::Conflict { .. } | Outcome::Lost => {
+            match state.get(Class::Leadership, keys::LEADER).await {
+                Ok(Some(p)) if p.value["inc"].as_str() == Some(incarnation) => Some(p.mark),
+                _ => None,
+            }
+        }
+        Outcome::Refused => None,
+    }
+}
+
 /// Everything that a leader does, until it is one no more.
 async fn lead(node: &Rc<Node>, term: u64, lease: u64, touched: Instant) {
     let mut children = Vec::new();
@@ -760,3 +772,89 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::users::stand_in::{Fault, StandIn};
+
+    fn key_for(incarnation: &str) -> Txn {
+        Txn {
+            guards: vec![Guard { key: keys::LEADER.into(), mark: 0 }],
+            apply: vec![Change::put(keys::LEADER, leader_value("kernel-0", incarnation))],
+        }
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn a_lost_answer_on_election_is_read_back() {
+        let store = StandIn::default();
+        let node = store.node();
+        store.fault(Fault::AppliedButLost);
+        let own = create_leader_key(&node.state, &key_for("mine"), "mine").await;
+        assert_eq!(own, Some(1), "elected after all");
+        let other = create_leader_key(&node.state, &key_for("theirs"), "theirs").await;
+        assert_eq!(other, None, "the key is taken");
+        store.fault(Fault::NotApplied);
+        assert_eq!(create_leader_key(&node.state, &key_for("third"), "third").await, None);
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn a_node_alone_refused_is_not_ready_and_one_among_all_is() {
+        let store = StandIn::default();
+        let node = store.node();
+        let status = |served| Frame::Status {
+            name: "kernel-1".into(),
+            term: 3,
+            leading: false,
+            served,
+            redirected: 0,
+        };
+        assert!(!node.ready(), "never loaded");
+        node.ready_once.set(true);
+        assert!(node.ready());
+        store.fault(Fault::Down);
+        let _ = node.state.get(Class::Poll, "x").await;
+        tokio::time::advance(Duration::from_secs(2)).await;
+        let _ = node.state.get(Class::Poll, "x").await;
+        node.peer_frame(status(false));
+        assert!(node.ready(), "an outage for all");
+        node.peer_frame(status(true));
+        assert!(!node.ready(), "alone refused");
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn unknown_paths_and_wrong_methods_are_told_apart() {
+        let node = StandIn::default().node();
+        for (method, path, status) in [
+            ("GET", "/nowhere", 404),
+            ("GET", "/submissions", 405),
+            ("DELETE", "/submissions/req-000001", 405),
+            ("GET", "/submissions/req-000001/withdraw", 405),
+            ("POST", "/submissions/req-000001/other", 404),
+            ("GET", "/hello", 405),
+            ("POST", "/ready", 405),
+        ] {
+            let request = Request { method: method.into(), path: path.into(), body: vec![] };
+            assert_eq!(handle(node.clone(), request).await.status, status, "{method} {path}");
+        }
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn a_newer_term_ends_the_lead_and_an_older_one_does_not() {
+        let node = StandIn::default().node();
+        node.leadership.borrow_mut().step(node.now(), Input::Vacant);
+        node.leadership.borrow_mut().step(node.now(), Input::Won { term: 5 });
+        let status = |term| Frame::Status {
+            name: "kernel-1".into(),
+            term,
+            leading: true,
+            served: true,
+            redirected: 0,
+        };
+        node.peer_frame(status(4));
+        assert_eq!(node.leadership.borrow().term(), Some(5));
+        node.peer_frame(status(6));
+        assert_eq!(node.leadership.borrow().term(), None);
+        assert_eq!(node.keeper().as_deref(), Some("kernel-1"));
+    }
+}
--- a/crates/walnutlug/src/users.rs
+++ b/crates/walnutlug/src/users.rs
@@ -441,3 +441,289 @@
     let txn = Txn { guards: Vec::new(), apply: vec![Change::put(keys::TYPES, value)] };
     state.commit(Class::Watch, &txn).await
 }
+
+/// A state service for tests: the protocol's conditional writes, and faults on demand.
+#[cfg(test)]
+pub mod stand_in {
+    use std::cell::{Cell, RefCell};
+    use std::collections::BTreeMap;
+    use std::rc::Rc;
+
+    use serde_json::{json, Value};
+    use walnutlug_core::tunables::Tunables;
+    use walnutlug_core::wire::{Change, MachineType, Txn};
+
+    use crate::http::client::{Client, Failure, Response};
+    use crate::node::Node;
+    use crate::settings::{tests::sample, Settings};
+
+    #[derive(Clone, Copy, PartialEq)]
+    pub enum Fault {
+        None,
+        /// The next transaction is carried out and its answer lost.
+        AppliedButLost,
+        /// The next transaction is lost.
+        NotApplied,
+        /// 503 to everything.
+        Down,
+    }
+
+    #[derive(Clone)]
+    pub struct StandIn {
+        pub keys: Rc<RefCell<BTreeMap<String, (Value, u64)>>>,
+        pub asked: Rc<Cell<u32>>,
+        growth: Rc<Cell<u64>>,
+        fault: Rc<Cell<Fault>>,
+    }
+
+    impl Default for StandIn {
+        fn default() -> StandIn {
+            StandIn {
+                keys: Rc::default(),
+                asked: Rc::default(),
+                growth: Rc::default(),
+                fault: Rc::new(Cell::new(Fault::None)),
+            }
+        }
+    }
+
+    impl StandIn {
+        pub fn fault(&self, fault: Fault) {
+            self.fault.set(fault);
+        }
+
+        /// A node that knows one machine type and asks this store.
+        pub fn node(&self) -> Rc<Node> {
+            let store = self.clone();
+            let script = move |method: &str, path: &str, body: &[u8]| store.say(method, path, body);
+            let client = Client::scripted(Box::new(script));
+            let settings = Settings::parse(&sample().to_string()).expect("settings");
+            let node = Node::new(settings, Tunables::default(), Rc::new(client), Vec::new());
+            let node = node.expect("a node");
+            node.types.borrow_mut().push(MachineType {
+                name: "t8".into(),
+                cpus: 8.0,
+                gpus: 0.0,
+                memory_gb: 32.0,
+                cache_gb: 10.0,
+                fetch_gb_per_s: 1.0,
+                price: 1.0,
+                spot_price: 0.5,
+                boot_s: 20.0,
+                zones: vec!["east".into()],
+            });
+            Rc::new(node)
+        }
+
+        pub fn put(&self, key: &str, value: Value) {
+            self.growth.set(self.growth.get() + 1);
+            self.keys.borrow_mut().insert(key.into(), (value, self.growth.get()));
+        }
+
+        fn say(&self, method: &str, path: &str, body: &[u8]) -> Result<Response, Failure> {
+            self.asked.set(self.asked.get() + 1);
+            let answer = |status, value: Value| {
+                Ok(Response { status, body: value.to_string().into_bytes() })
+            };
+            match (self.fault.get(), method, path) {
+                (Fault::Down, _, _) => answer(503, json!({})),
+                (_, "GET", _) => {
+                    let key = path.strip_prefix("/keys/").expect("a key");
+                    match self.keys.borrow().get(key) {
+                        Some((value, mark)) => {
+                            answer(200, json!({"key": key, "value": value, "mark": mark}))
+                        }
+                        None => answer(404, json!({"growth": self.growth.get()})),
+                    }
+                }
+                (fault, "POST", "/multi") => {
+                    self.fault.set(Fault::None);
+                    if fault == Fault::NotApplied {
+                        return Err(Failure::Lost);
+                    }
+                    let txn: Txn = serde_json::from_slice(body).expect("a transaction");
+                    let failed: Vec<&str> = {
+                        let keys = self.keys.borrow();
+                        let mark = |k: &str| keys.get(k).map_or(0, |v| v.1);
+                        let wrong = txn.guards.iter().filter(|g| mark(&g.key) != g.mark);
+                        wrong.map(|g| g.key.as_str()).collect()
+                    };
+                    if !failed.is_empty() {
+                        return answer(409, json!({"failed": failed, "growth": 1}));
+                    }
+                    self.growth.set(self.growth.get() + 1);
+                    for change in &txn.apply {
+                        match change {
+                            Change::Put { put, value, .. } => {
+                                let entry = (value.clone(), self.growth.get());
+                                self.keys.borrow_mut().insert(put.clone(), entry);
+                            }
+                            Change::Drop { drop } => {
+                                self.keys.borrow_mut().remove(drop);
+                            }
+                        }
+                    }
+                    if fault == Fault::AppliedButLost {
+                        return Err(Failure::Lost);
+                    }
+                    answer(200, json!({"growth": self.growth.get()}))
+                }
+                _ => answer(400, json!({})),
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use serde_json::{json, Value};
+    use tokio::task::LocalSet;
+
+    use super::stand_in::{Fault, StandIn};
+    use super::*;
+
+    const JOB: &str = "req-000412";
+
+    fn submission() -> Value {
+        json!({"ref": JOB, "shell": "c", "crew": "one", "husk": "batch", "rank": "high", "nuts": 3,
+            "vcpus": 2.0, "gpus": 0.0, "memoryGb": 4.0, "seed": "i", "imageGb": 1.0,
+            "breeds": null, "grove": null, "together": false, "spread": false, "windfall": true,
+            "ripenS": 20.0, "stashS": 0.0, "buryS": 0.0, "harvestS": null})
+    }
+
+    async fn send(node: &Rc<Node>, body: &Value) -> (u16, Value) {
+        told(submit(node.clone(), body.to_string().into_bytes()).await)
+    }
+
+    fn told(answer: Answer) -> (u16, Value) {
+        (answer.status, serde_json::from_slice(&answer.body).expect("json"))
+    }
+
+    /// Seen on the first steady days: a node that had accepted the job answered a late repeat from
+    /// memory after another node had told that the job was done.
+    #[tokio::test(start_paused = true)]
+    async fn a_repeat_after_the_end_is_told_the_end() {
+        let store = StandIn::default();
+        let (a, b) = (store.node(), store.node());
+        let play = async {
+            assert_eq!(send(&a, &submission()).await.0, 201);
+            store.put(&keys::end(JOB), json!("done"));
+            assert_eq!(told(poll(b.clone(), JOB).await).1["stage"], "done");
+            let (status, answer) = send(&a, &submission()).await;
+            assert_eq!((status, &answer["stage"]), (200, &json!("done")));
+        };
+        LocalSet::new().run_until(play).await;
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn a_submission_whose_answer_is_lost_is_accepted_once() {
+        let store = StandIn::default();
+        let node = store.node();
+        let play = async {
+            store.fault(Fault::AppliedButLost);
+            assert_eq!(send(&node, &submission()).await.0, 200, "known: its own first copy");
+            store.fault(Fault::NotApplied);
+            let mut other = submission();
+            other["ref"] = json!("req-000413");
+            assert_eq!(send(&node, &other).await.0, 201);
+            assert!(store.keys.borrow().contains_key(&keys::todo("req-000413")));
+        };
+        LocalSet::new().run_until(play).await;
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn what_cannot_be_decided_is_refused_at_once_with_a_time_to_come_again() {
+        let store = StandIn::default();
+        let node = store.node();
+        let play = async {
+            store.put(&keys::job("req-1"), json!(1));
+            store.put(&keys::end("req-1"), json!("aborted"));
+            assert_eq!(told(poll(node.clone(), "req-1").await).1["stage"], "aborted");
+            store.fault(Fault::Down);
+            let before = Instant::now();
+            let body = submission().to_string().into_bytes();
+            for answer in [
+                submit(node.clone(), body).await,
+                poll(node.clone(), JOB).await,
+                withdraw(node.clone(), JOB).await,
+            ] {
+                assert_eq!((answer.status, answer.retry_after), (503, Some(1)));
+            }
+            assert!(before.elapsed() < Duration::from_millis(500), "held back");
+            // What has ended is certain whatever is down.
+            assert_eq!(told(poll(node.clone(), "req-1").await).1["stage"], "aborted");
+        };
+        LocalSet::new().run_until(play).await;
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn an_end_has_one_writer_and_every_node_tells_it() {
+        let store = StandIn::default();
+        let (a, b) = (store.node(), store.node());
+        let play = async {
+            send(&a, &submission()).await;
+            assert_eq!(told(withdraw(a.clone(), JOB).await).1["stage"], "aborted");
+            assert_eq!(told(withdraw(b.clone(), JOB).await).1["stage"], "aborted");
+            assert_eq!(told(poll(b.clone(), JOB).await).1["stage"], "aborted");
+            let mut other = submission();
+            other["ref"] = json!("req-000413");
+            send(&a, &other).await;
+            store.put(&keys::end("req-000413"), json!("done"));
+            let (status, answer) = told(withdraw(b.clone(), "req-000413").await);
+            assert_eq!((status, &answer["stage"]), (200, &json!("done")), "the finish came first");
+            // A lost answer on the withdrawal itself.
+            other["ref"] = json!("req-000414");
+            send(&a, &other).await;
+            assert_eq!(told(poll(a.clone(), "req-000414").await).1["stage"], "queued");
+            store.put(&keys::end("req-000414"), json!("aborted"));
+            assert_eq!(told(withdraw(a.clone(), "req-000414").await).1["stage"], "aborted");
+        };
+        LocalSet::new().run_until(play).await;
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn nobodys_jobs_are_not_found_and_odd_names_not_even_looked_for() {
+        let store = StandIn::default();
+        let node = store.node();
+        let play = async {
+            assert_eq!(poll(node.clone(), "req-999999").await.status, 404);
+            assert_eq!(withdraw(node.clone(), "req-999999").await.status, 404);
+            let before = store.asked.get();
+            for odd in ["job-1", "req-", "req-1x", "leader", "..", "req-1%2f"] {
+                assert_eq!(poll(node.clone(), odd).await.status, 404, "{odd}");
+            }
+            assert_eq!(store.asked.get(), before);
+        };
+        LocalSet::new().run_until(play).await;
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn what_can_never_run_is_refused_unless_it_was_accepted() {
+        let store = StandIn::default();
+        let node = store.node();
+        let play = async {
+            for (field, value) in
+                [("crew", json!("nobody")), ("vcpus", json!(9.0)), ("grove", json!("mars"))]
+            {
+                let mut body = submission();
+                body[field] = value;
+                assert_eq!(send(&node, &body).await.0, 422, "{field}");
+            }
+            let mut over = submission();
+            over["crew"] = json!("one");
+            over["vcpus"] = json!(65.0);
+            assert_eq!(send(&node, &over).await.0, 422);
+            assert_eq!(send(&node, &submission()).await.0, 201);
+            // The cloud offers no fitting type any more: the job stays accepted.
+            node.types.borrow_mut()[0].cpus = 1.0;
+            let again = store.node();
+            again.types.borrow_mut()[0].cpus = 1.0;
+            assert_eq!(send(&again, &submission()).await.0, 200);
+            again.types.borrow_mut().clear();
+            let mut other = submission();
+            other["ref"] = json!("req-000413");
+            assert_eq!(send(&again, &other).await.0, 503, "no types known");
+        };
+        LocalSet::new().run_until(play).await;
+    }
+}
