--- a/crates/walnutlug/src/state.rs
+++ b/crates/walnutlug/src/state.rs
@@ -44,7 +44,7 @@
     /// The part of a second's allowance that must be left after a request of the class.
     fn floor(self) -> f64 {
         match self {
-            Class::Leadership => f64::MIN,
+            Class::Leadership => 0.0,
             Class::Dispatch => 0.0,
             Class::Submission => 0.05,
             Class::Poll => 0.15,
