A new leader asks all machines at the addresses that its peers know

Cause: after a take-over idle machines opened only with their next report, up to four seconds later, or with the machine list, which a cloud outage withholds.

--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -108,6 +108,8 @@
     pub fence: u64,
     /// Highest token with which a start was sent; a reap needs a higher one.
     pub start_token: u64,
+    /// Said to be running, by the cloud or by another node: worth asking directly.
+    pub said_up: bool,
     pub last_report: Time,
     pub rented: Time,
     pub notice: Option<Time>,
@@ -390,6 +392,7 @@
             seen_token: 0,
             fence: 0,
             start_token: 0,
+            said_up: false,
             last_report: now,
             rented: now,
             notice: None,
@@ -434,6 +437,16 @@
         ix
     }
 
+    /// Another node tells where a machine can be reached: only worth asking there.
+    pub fn hint_address(&mut self, now: Time, name: &str, address: &str) {
+        let m = self.machine_named(now, name);
+        let machine = &mut self.machines[m as usize];
+        if machine.state == MachineState::Booting && machine.address.is_empty() {
+            machine.address = address.to_owned();
+            machine.said_up = true;
+        }
+    }
+
     /// The job has ended for its users: nothing of it is started any more.
     pub fn job_over(&mut self, now: Time, name: &str) {
         let Some(&ix) = self.by_ref.get(name) else { return };
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -616,6 +616,7 @@
                     machine.address.clone_from(address);
                 }
             }
+            machine.said_up |= entry.stage == MachineStage::Running;
             if entry.stage == MachineStage::Failed {
                 // A failed machine stopped by itself, so nothing is on it any more. It stays
                 // listed until it is returned.
--- a/crates/core/src/receipts.rs
+++ b/crates/core/src/receipts.rs
@@ -21,14 +21,14 @@
         let overdue = self.site.report.scale(OVERDUE);
         for ix in 0..self.machines.len() {
             let m = &self.machines[ix];
-            // A machine of the last leader's that has not reported yet is asked at its listed
-            // address, so that a take-over doesn't wait for its next report.
-            let known = m.state == MachineState::Up
-                || (m.state == MachineState::Booting && !m.tasks.is_empty());
+            // A machine of the last leader's that has not reported yet is asked at the address that
+            // the cloud or another node tells, so that a take-over doesn't wait for its next report.
+            let asked = m.state == MachineState::Booting && (m.said_up || !m.tasks.is_empty());
+            let known = m.state == MachineState::Up || asked;
             let can_send = known && !m.busy && now >= m.retry_at && !m.address.is_empty();
             // A fence that was raised for a lost send, or a new term, is shown to the worker at
             // once instead of with its next report.
-            let unseen = m.seen_token < m.token(term) && !m.tasks.is_empty();
+            let unseen = m.seen_token < m.token(term) && (asked || !m.tasks.is_empty());
             // One that missed a report is asked: if it answers it is not silent, and if it doesn't
             // it can be given up sooner.
             let missed = m.state == MachineState::Up && now.since(m.last_report) > overdue;
--- a/crates/core/tests/starts.rs
+++ b/crates/core/tests/starts.rs
@@ -571,3 +571,35 @@
     }
     assert!(rented_after.is_some_and(|s| (50..70).contains(&s)), "{rented_after:?}");
 }
+
+/// A new leader asks the machines it was told of, idle ones too, and doesn't wait for their next
+/// reports; one that was told wrongly holds nothing up.
+#[test]
+fn a_take_over_asks_the_machines_it_was_told_of() {
+    let mut w = World::new(&[("n-1", "a")]);
+    w.take_over();
+    w.leader.hint_address(w.now, "n-1", "10.0.0.1:1");
+    w.leader.hint_address(w.now, "n-gone", "10.0.0.9:1");
+    w.submit(JOB, &spec(1));
+    for _ in 0..3 {
+        w.tick();
+        for command in std::mem::take(&mut w.commands) {
+            match command {
+                Command::Direct { machine, token, session, calls, .. } => {
+                    if w.leader.machines[machine as usize].name == "n-1" {
+                        w.deliver(machine, token, session, &calls);
+                    } else {
+                        w.leader.direct_answer(w.now, machine, DirectOutcome::NotSent);
+                    }
+                }
+                Command::Commit { id, txn } => {
+                    let outcome = w.store.apply(&txn);
+                    w.leader.txn_answer(w.now, id, outcome);
+                }
+                _ => {}
+            }
+        }
+    }
+    w.settle();
+    assert_eq!(w.places().len(), 1, "placed before any report came");
+}
--- a/crates/walnutlug/src/node.rs
+++ b/crates/walnutlug/src/node.rs
@@ -10,7 +10,7 @@
 use tokio::sync::{mpsc, Notify};
 use tokio::time::{sleep, timeout, Duration, Instant};
 use tracing::{debug, info, warn};
-use walnutlug_core::book::{Command, Outcome, Scheduler};
+use walnutlug_core::book::{Command, MachineState, Outcome, Scheduler};
 use walnutlug_core::job::{keys, End};
 use walnutlug_core::leadership::{Input, Leadership, Role};
 use walnutlug_core::time::{Span, Time};
@@ -28,6 +28,11 @@
 /// How long a leader that gave way leaves the lead to others.
 const ASIDE: Span = Span::secs(15);
 
+/// How long an address that another node told is worth asking at.
+const ADDRESS_FRESH: Duration = Duration::from_secs(20);
+const ADDRESSES_EVERY: u32 = 5;
+const MOST_ADDRESSES: usize = 2_000;
+
 /// What another node last said of itself.
 struct PeerState {
     heard: Instant,
@@ -61,6 +66,8 @@
     epoch: Instant,
     ready_once: Cell<bool>,
     told: RefCell<HashMap<String, (u32, u32)>>,
+    /// Where machines can be reached, as the leader told lately: for a quick take-over.
+    addresses: RefCell<HashMap<String, (String, Instant)>>,
 }
 
 /// Where the node's steady clock begins. Not at nothing, so that times before the start of this
@@ -104,6 +111,7 @@
             epoch: Instant::now(),
             ready_once: Cell::new(false),
             told: RefCell::default(),
+            addresses: RefCell::default(),
             settings,
         })
     }
@@ -170,6 +178,15 @@
                 self.new_work.notify_one();
             }
             Frame::NewJob { .. } => self.new_work.notify_one(),
+            Frame::Machine { name, address } => {
+                let mut known = self.addresses.borrow_mut();
+                if known.len() >= MOST_ADDRESSES {
+                    known.retain(|_, (_, heard)| heard.elapsed() < ADDRESS_FRESH);
+                }
+                if known.len() < MOST_ADDRESSES {
+                    known.insert(name, (address, Instant::now()));
+                }
+            }
         }
     }
 
@@ -343,6 +360,9 @@
         }
         if leading {
             tell_progress(&node);
+            if count.is_multiple_of(ADDRESSES_EVERY) {
+                tell_addresses(&node);
+            }
         }
         let probe = node.clone();
         tokio::task::spawn_local(async move { probe.state.probe().await });
@@ -365,6 +385,14 @@
     }
 }
 
+fn tell_addresses(node: &Node) {
+    let scheduler = node.scheduler.borrow();
+    let Some(s) = scheduler.as_ref() else { return };
+    for m in s.machines.iter().filter(|m| m.state == MachineState::Up) {
+        node.tell_peers(&Frame::Machine { name: m.name.clone(), address: m.address.clone() });
+    }
+}
+
 async fn tell_times(node: Rc<Node>) {
     loop {
         sleep(Duration::from_secs(60)).await;
@@ -573,6 +601,11 @@
             Outcome::Refused | Outcome::Lost => sleep(Duration::from_millis(200)).await,
         }
     }
+    for (name, (address, heard)) in node.addresses.borrow().iter() {
+        if heard.elapsed() < ADDRESS_FRESH {
+            s.hint_address(now, name, address);
+        }
+    }
     let placed: usize = s.machines.iter().map(|m| m.tasks.len()).sum();
     info!(
         term,
--- a/crates/walnutlug/src/peers.rs
+++ b/crates/walnutlug/src/peers.rs
@@ -36,6 +36,7 @@
 const KIND_PROGRESS: u16 = 2;
 const KIND_ENDED: u16 = 3;
 const KIND_NEW_JOB: u16 = 4;
+const KIND_MACHINE: u16 = 5;
 
 #[derive(FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned, Clone, Copy)]
 #[repr(C)]
@@ -57,6 +58,13 @@
     end: u8,
 }
 
+#[derive(FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned, Clone, Copy)]
+#[repr(C)]
+struct MachineBody {
+    name: [u8; 64],
+    address: [u8; 24],
+}
+
 /// One message between nodes.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Frame {
@@ -80,6 +88,11 @@
     NewJob {
         job: String,
     },
+    /// Where a machine that reports to the leader can be reached.
+    Machine {
+        name: String,
+        address: String,
+    },
 }
 
 fn name_field<const N: usize>(name: &str) -> [u8; N] {
@@ -120,6 +133,10 @@
                 let code = if *end == End::Done { 1 } else { 2 };
                 (KIND_ENDED, job_body(job, 0, 0, code).as_bytes().to_vec())
             }
+            Frame::Machine { name, address } => {
+                let body = MachineBody { name: name_field(name), address: name_field(address) };
+                (KIND_MACHINE, body.as_bytes().to_vec())
+            }
             Frame::NewJob { job } => (KIND_NEW_JOB, job_body(job, 0, 0, 0).as_bytes().to_vec()),
         };
         let header = Header {
@@ -146,6 +163,14 @@
                     redirected: b.redirected.get(),
                 }))
             }
+            KIND_MACHINE => {
+                let (b, _) = MachineBody::read_from_prefix(body).map_err(|_| "short machine")?;
+                let address = name_of(&b.address).ok_or("bad address")?;
+                if address.parse::<std::net::SocketAddrV4>().is_err() {
+                    return Err("bad address");
+                }
+                Ok(Some(Frame::Machine { name: name_of(&b.name).ok_or("bad name")?, address }))
+            }
             KIND_PROGRESS | KIND_ENDED | KIND_NEW_JOB => {
                 let (b, _) = JobBody::read_from_prefix(body).map_err(|_| "short job frame")?;
                 let job = name_of(&b.name).ok_or("bad name")?;
@@ -260,6 +285,7 @@
             Frame::Progress { job: "req-000001".into(), done: 3, running: 70_000 },
             Frame::Ended { job: "req-000002".into(), end: End::Aborted },
             Frame::NewJob { job: "req-000003".into() },
+            Frame::Machine { name: "n-000231".into(), address: "10.1.0.232:9000".into() },
         ]
     }
 
