--- a/crates/core/src/receipts.rs
+++ b/crates/core/src/receipts.rs
@@ -28,7 +28,10 @@
             let can_send = known && !m.busy && now >= m.retry_at && !m.address.is_empty();
             // A fence that was raised for a lost send, or a new term, is shown to the worker at
             // once instead of with its next report.
-            let unseen = m.seen_token < m.token(term) && (asked || !m.tasks.is_empty());
+            // (The first answer of a worker whose session wasn't known shows the session only; the
+            // second shows that it has seen the term.)
+            let unseen = m.seen_token < token(term, 0)
+                || (m.seen_token < m.token(term) && !m.tasks.is_empty());
             // One that missed a report is asked: if it answers it is not silent, and if it doesn't
             // it can be given up sooner.
             let missed = m.state == MachineState::Up && now.since(m.last_report) > overdue;
