--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -508,6 +508,7 @@
             return;
         }
         let mut names = Vec::new();
+        let mut causes = Vec::new();
         for m in &mut self.machines {
             let again = m.state == MachineState::Returning
                 && m.return_sent.is_some_and(|t| now.since(t) > RETURN_RETRY);
@@ -518,6 +519,7 @@
                 && m.state != MachineState::Returning
                 && (hopeless || (m.draining.is_some() && m.tasks.is_empty() && m.foreign == 0));
             if (due || again) && names.len() < 100 {
+                causes.push(format!("{} ({})", m.name, m.draining.unwrap_or("asked again")));
                 m.state = MachineState::Returning;
                 m.return_sent = Some(now);
                 names.push(m.name.clone());
@@ -525,7 +527,7 @@
         }
         if !names.is_empty() {
             self.fleet.returning += 1;
-            self.note(format!("returning {}", names.join(" ")));
+            self.note(format!("returning {}", causes.join(", ")));
             self.out.push(Command::Return { machines: names });
         }
     }
--- a/crates/core/tests/starts.rs
+++ b/crates/core/tests/starts.rs
@@ -584,3 +584,14 @@
     w.settle();
     assert_eq!(w.places().len(), 1, "placed before any report came");
 }
+
+/// A leader that no worker reaches any more says so, but not while one of them still reports.
+#[test]
+fn a_leader_that_hears_of_no_worker_is_deaf() {
+    let mut w = World::new(&[("n-1", "a"), ("n-2", "b")]);
+    assert!(!w.leader.deaf(w.now));
+    w.wait(20_000);
+    assert!(w.leader.deaf(w.now));
+    w.report("n-2");
+    assert!(!w.leader.deaf(w.now), "one worker is heard");
+}
