Aims given twice: all are kept, the tighter counts first, the looser once it is lost

Cause: settings kept every aim, but decisions looked at the first of a class alone, so a closure that lost its 3 s was never hurried to its 15, and a job past its deadline went behind all others though it still counts at 1.5 times. Settings name aims that are zero, negative or no numbers, and peers that are doubled.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -66,21 +66,27 @@
         let mut slack = f64::INFINITY;
         let mut hopeless = false;
         if let Some(deadline) = spec.deadline_s {
-            let left = deadline - age - run;
-            // Estimates err by half: only what is far beyond its time is given up.
-            hopeless = left < -0.5 * run;
-            slack = left;
+            // Estimates err by half: only what is far beyond its time is given up, and then the
+            // class's longer deadline counts, if it has one.
+            let least = (age + 0.5 * run) / deadline.max(0.1);
+            slack = deadline * self.site.deadline_times(&spec.class, least) - age - run;
+            hopeless = slack < -0.5 * run;
         }
         if let Some(within) = self.site.finish_aim(&spec.class) {
             slack = slack.min(within.as_secs() - age - run);
         }
         let finish_slack = slack;
-        if let Some(within) = self.site.wait_aim(&spec.class) {
-            // A start that is late already gains nothing from being hurried further.
-            let left = within.as_secs() - age;
-            if left > -GRACE || slack == f64::INFINITY {
-                slack = slack.min(left);
+        // A start that is late already gains nothing from being hurried further: then the class's
+        // next aim on starting counts, if it has a looser one.
+        let lost = Span::from_secs(age - GRACE);
+        match self.site.next_wait_aim(&spec.class, lost) {
+            Some(within) => slack = slack.min(within.as_secs() - age),
+            None if slack == f64::INFINITY => {
+                if let Some(within) = self.site.wait_aim(&spec.class) {
+                    slack = within.as_secs() - age;
+                }
             }
+            None => {}
         }
         if slack == f64::INFINITY {
             // Without any aim, age alone counts, behind everything that is pressed for time.
--- a/crates/core/src/tunables.rs
+++ b/crates/core/src/tunables.rs
@@ -72,9 +72,19 @@
 /// An aim on starting or finishing, from the platform's file.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Objective {
-    Deadline { class: String },
-    Wait { class: String, within: Span },
-    Finished { class: String, within: Span },
+    /// Done within `times` the deadline that the owner set.
+    Deadline {
+        class: String,
+        times: f64,
+    },
+    Wait {
+        class: String,
+        within: Span,
+    },
+    Finished {
+        class: String,
+        within: Span,
+    },
 }
 
 /// What the platform's file says about the deployment.
@@ -94,19 +104,82 @@
         self.teams.iter().find(|t| t.name == name)
     }
 
-    /// Within what time tasks of the class should start, if an aim says so.
-    pub fn wait_aim(&self, class: &str) -> Option<Span> {
-        self.objectives.iter().find_map(|o| match o {
+    fn waits<'a>(&'a self, class: &'a str) -> impl Iterator<Item = Span> + 'a {
+        self.objectives.iter().filter_map(move |o| match o {
             Objective::Wait { class: c, within } if c == class => Some(*within),
             _ => None,
         })
     }
 
+    /// The shortest time within which tasks of the class should start, if an aim says so.
+    pub fn wait_aim(&self, class: &str) -> Option<Span> {
+        self.waits(class).min()
+    }
+
+    /// The shortest of the class's aims on starting that is longer than `lost`. A class may have
+    /// several, in any order: once the tighter can't be met the looser one counts.
+    pub fn next_wait_aim(&self, class: &str, lost: Span) -> Option<Span> {
+        self.waits(class).filter(|w| *w > lost).min()
+    }
+
     /// Within what time jobs of the class should be complete, if an aim says so.
     pub fn finish_aim(&self, class: &str) -> Option<Span> {
-        self.objectives.iter().find_map(|o| match o {
+        let within = self.objectives.iter().filter_map(|o| match o {
             Objective::Finished { class: c, within } if c == class => Some(*within),
             _ => None,
-        })
+        });
+        within.min()
+    }
+
+    /// How many times its deadline a job of the class may take and still count: the least multiple
+    /// of at least `least`, or else the greatest there is. A job that can't make its deadline any
+    /// more still counts at the longer one.
+    pub fn deadline_times(&self, class: &str, least: f64) -> f64 {
+        let (mut next, mut last) = (f64::INFINITY, 0.0f64);
+        for o in &self.objectives {
+            if let Objective::Deadline { class: c, times } = o {
+                if c == class {
+                    last = last.max(*times);
+                    if *times >= least {
+                        next = next.min(*times);
+                    }
+                }
+            }
+        }
+        match (next.is_finite(), last > 0.0) {
+            (true, _) => next,
+            (false, true) => last,
+            (false, false) => 1.0,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn several_aims_of_a_class_count_in_any_order() {
+        let wait = |s| Objective::Wait { class: "c".into(), within: Span::secs(s) };
+        let deadline = |times| Objective::Deadline { class: "c".into(), times };
+        let mut site = Site {
+            teams: Vec::new(),
+            objectives: vec![wait(15), deadline(1.5), wait(3), deadline(1.0), wait(3)],
+            report: Span::secs(3),
+            lease: Span::secs(20),
+            value_bytes: 4096,
+            txn_ops: 12,
+            list_lag: Span::secs(4),
+        };
+        for _ in 0..2 {
+            assert_eq!(site.wait_aim("c"), Some(Span::secs(3)));
+            assert_eq!(site.next_wait_aim("c", Span::secs(3)), Some(Span::secs(15)));
+            assert_eq!(site.next_wait_aim("c", Span::secs(15)), None);
+            assert_eq!(site.deadline_times("c", 0.0), 1.0);
+            assert_eq!(site.deadline_times("c", 1.1), 1.5);
+            assert_eq!(site.deadline_times("c", 9.0), 1.5);
+            site.objectives.reverse();
+        }
+        assert_eq!(site.deadline_times("other", 0.0), 1.0);
     }
 }
--- a/crates/walnutlug/src/settings.rs
+++ b/crates/walnutlug/src/settings.rs
@@ -110,6 +110,14 @@
                     let name = item["node_name"].as_str().unwrap_or_default();
                     let addr = item["peer_addr"].as_str().and_then(parse_addr);
                     match addr {
+                        Some(addr)
+                            if peers.iter().any(|p: &Peer| p.name == name || p.addr == addr) =>
+                        {
+                            r.fault::<()>(
+                                &format!("peers.{i}"),
+                                &format!("{name} {addr} is doubled"),
+                            );
+                        }
                         Some(addr) if !name.is_empty() && name != node_name => {
                             peers.push(Peer { name: name.to_owned(), addr });
                         }
@@ -153,22 +161,37 @@
             Value::Array(items) => {
                 for (i, item) in items.iter().enumerate() {
                     let class = item["class"].as_str().unwrap_or_default().to_owned();
-                    let within = item["within_s"].as_f64().map(Span::from_secs);
-                    match (item["kind"].as_str(), within) {
-                        (Some("deadline"), _) => objectives.push(Objective::Deadline { class }),
-                        (Some("wait"), Some(within)) => {
-                            objectives.push(Objective::Wait { class, within });
-                        }
-                        (Some("finished"), Some(within)) => {
-                            objectives.push(Objective::Finished { class, within });
+                    // What is absent is not asked for; what is there has to make sense.
+                    let positive = |field: &str| match &item[field] {
+                        Value::Null => Ok(None),
+                        v => v.as_f64().filter(|n| *n > 0.0 && n.is_finite()).map(Some).ok_or(()),
+                    };
+                    let mut amount = |field: &str, default: Option<f64>| match positive(field) {
+                        Ok(Some(n)) => Some(n),
+                        Ok(None) if default.is_some() => default,
+                        Ok(None) | Err(()) => r.fault(
+                            &format!("facts.objectives.{i}.{field}"),
+                            "must be a number above 0",
+                        ),
+                    };
+                    match item["kind"].as_str() {
+                        Some("deadline") => {
+                            if let Some(times) = amount("times", Some(1.0)) {
+                                objectives.push(Objective::Deadline { class, times });
+                            }
                         }
-                        (Some("wait" | "finished"), None) => {
-                            r.fault(&format!("facts.objectives.{i}.within_s"), "must be a number")
+                        Some("wait") => {
+                            if let Some(within) = amount("within_s", None).map(Span::from_secs) {
+                                objectives.push(Objective::Wait { class, within });
+                            }
                         }
-                        (Some(_), _) => {} // An aim of a later version.
-                        (None, _) => {
-                            r.fault(&format!("facts.objectives.{i}.kind"), "must be a string")
+                        Some("finished") => {
+                            if let Some(within) = amount("within_s", None).map(Span::from_secs) {
+                                objectives.push(Objective::Finished { class, within });
+                            }
                         }
+                        Some(_) => {} // An aim of a later version.
+                        None => r.fault(&format!("facts.objectives.{i}.kind"), "must be a string"),
                     }
                 }
             }
@@ -259,4 +282,47 @@
         assert_eq!(faults.len(), 5);
         assert_eq!(Settings::parse("[]").expect_err("array").len(), 1);
     }
+
+    #[test]
+    fn aims_may_be_several_and_odd_ones_are_named_or_passed_over() {
+        let mut s = sample();
+        s["facts"]["objectives"] = json!([
+            {"kind": "wait", "class": "quick", "within_s": 15.0},
+            {"kind": "wait", "class": "quick", "within_s": 3.0},
+            {"kind": "deadline", "class": "quick", "times": 1.5},
+            {"kind": "deadline", "class": "quick"},
+            {"kind": "deadline", "class": "nobody", "times": 2, "later": []},
+            {"kind": "harvest", "within_s": -1}
+        ]);
+        let good = Settings::parse(&s.to_string()).expect("valid");
+        assert_eq!(good.site.objectives.len(), 5);
+        assert_eq!(good.site.wait_aim("quick"), Some(Span::secs(3)));
+        s["facts"]["objectives"] = json!([
+            {"kind": "wait", "class": "quick", "within_s": 0},
+            {"kind": "wait", "class": "quick"},
+            {"kind": "deadline", "class": "quick", "times": -1},
+            {"kind": "deadline", "class": "quick", "times": "often"},
+            {"kind": "finished", "class": "quick", "within_s": "soon"}
+        ]);
+        s["peers"] = json!([
+            {"node_name": "kernel-1", "peer_addr": "127.0.0.1:3"},
+            {"node_name": "kernel-1", "peer_addr": "127.0.0.1:6"},
+            {"peer_addr": "127.0.0.1:7"},
+            {"node_name": "kernel-2"}
+        ]);
+        let faults = Settings::parse(&s.to_string()).expect_err("faults");
+        for path in [
+            "objectives.0.within_s",
+            "objectives.1.within_s",
+            "objectives.2.times",
+            "objectives.3.times",
+            "objectives.4.within_s",
+            "peers.1",
+            "peers.2",
+            "peers.3",
+        ] {
+            assert!(faults.iter().any(|f| f.contains(path)), "{path} in {faults:?}");
+        }
+        assert_eq!(faults.len(), 8);
+    }
 }
