The fleet grows past 400 machines: renting counts each kind once a look

Cause: trying on paper stopped at 400 machines, there and wanted together, and each machine wanted was chosen by counting all others by zone name.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -2,8 +2,8 @@
 
 use std::collections::HashMap;
 
-use crate::book::{Command, JobIx, MachineState, Scheduler};
-use crate::job::SLACK;
+use crate::book::{Command, Job, JobIx, MachineState, Scheduler};
+use crate::job::{JobSpec, SLACK};
 use crate::time::{Span, Time};
 use crate::wire::{ListedMachine, MachineStage};
 
@@ -39,17 +39,81 @@
     running: f64,
 }
 
-/// A machine that is coming or could be rented, for trying placements on paper.
+/// Room on a machine that is there, coming or wanted, for trying placements on paper.
 struct Paper {
-    kind: usize,
-    zone: String,
-    spot: bool,
+    offer: usize,
     cpus: f64,
     gpus: f64,
     memory: f64,
-    new: bool,
 }
 
+impl Paper {
+    /// Puts as many of `todo` tasks on it as there is room for.
+    fn take(&mut self, spec: &JobSpec, todo: u32) -> u32 {
+        let by =
+            |free: f64, takes: f64| if takes > 0.0 { (free + SLACK) / takes } else { f64::MAX };
+        let fit = by(self.cpus, spec.cpus)
+            .min(by(self.gpus, spec.gpus))
+            .min(by(self.memory, spec.memory_gb));
+        let n = (fit.max(0.0) as u32).min(todo);
+        self.cpus -= spec.cpus * f64::from(n);
+        self.gpus -= spec.gpus * f64::from(n);
+        self.memory -= spec.memory_gb * f64::from(n);
+        n
+    }
+}
+
+/// What can be asked for, and how many of each there are, are coming or are wanted. Counted once a
+/// look: at several hundred machines, counting them anew for each one wanted took whole seconds of
+/// a node's share, and was cut off at 400, where the fleet then stopped growing.
+#[derive(Default)]
+struct Market {
+    offers: Vec<Offer>,
+    price: Vec<f64>,
+    open: Vec<bool>,
+    there: Vec<u32>,
+    wanted: Vec<u32>,
+}
+
+impl Market {
+    fn add(&mut self, offer: Offer, price: f64, open: bool) -> usize {
+        self.offers.push(offer);
+        self.price.push(price);
+        self.open.push(open);
+        self.there.push(0);
+        self.wanted.push(0);
+        self.offers.len() - 1
+    }
+
+    /// The offer's place; one that the cloud doesn't name any more is added as closed.
+    fn index(&mut self, kind: usize, zone: &str, spot: bool) -> usize {
+        let known = self.offers.iter().position(|o| o.0 == kind && o.2 == spot && o.1 == zone);
+        known.unwrap_or_else(|| self.add((kind, zone.to_owned(), spot), f64::INFINITY, false))
+    }
+
+    /// The cheapest of those allowed, by price per processor. Among equals the one with fewest
+    /// machines, so that one wave doesn't take them all.
+    fn cheapest(&self, allowed: impl Fn(usize) -> bool) -> Option<usize> {
+        let open = (0..self.offers.len()).filter(|&i| self.open[i] && allowed(i));
+        open.min_by(|&a, &b| {
+            let by_price = self.price[a].total_cmp(&self.price[b]);
+            by_price.then(self.there[a].cmp(&self.there[b])).then(a.cmp(&b))
+        })
+    }
+
+    fn want(&mut self, offer: usize) {
+        self.there[offer] += 1;
+        self.wanted[offer] += 1;
+    }
+
+    /// Whether any more can be asked for in this look.
+    fn has_room(&self) -> bool {
+        self.wanted.iter().any(|&n| n < MOST_ASKED)
+    }
+}
+
+/// Machines in one request, by the protocol.
+const MOST_ASKED: u32 = 50;
 const LOOK_EVERY: Span = Span::millis(500);
 const RETURN_RETRY: Span = Span::secs(6);
 
@@ -207,41 +271,64 @@
         if now < self.fleet.down_until || self.types.is_empty() {
             return;
         }
+        let queue = self.queue(now);
+        // A machine without room for the smallest task that waits is of no use to any.
+        let (mut least_cpus, mut least_memory) = (f64::INFINITY, f64::INFINITY);
+        for job in queue.iter().filter_map(|&(_, ix)| self.job(ix)) {
+            least_cpus = least_cpus.min(job.spec.cpus);
+            least_memory = least_memory.min(job.spec.memory_gb);
+        }
+        let mut market = self.market(now);
         let mut paper: Vec<Paper> = Vec::new();
+        let mut free = 0.0;
         for m in &self.machines {
             let Some(kind) = m.kind else { continue };
             let coming = m.state == MachineState::Booting && m.draining.is_none();
-            if coming || self.open_for_work(now, m) {
-                paper.push(Paper {
-                    kind,
-                    zone: m.zone.clone(),
-                    spot: m.spot,
-                    cpus: self.types[kind].cpus - m.cpus,
-                    gpus: self.types[kind].gpus - m.gpus,
-                    memory: self.types[kind].memory_gb - m.memory,
-                    new: false,
-                });
+            if !coming && !self.open_for_work(now, m) {
+                continue;
+            }
+            let t = &self.types[kind];
+            let p = Paper {
+                offer: market.index(kind, &m.zone, m.spot),
+                cpus: t.cpus - m.cpus,
+                gpus: t.gpus - m.gpus,
+                memory: t.memory_gb - m.memory,
+            };
+            market.there[p.offer] += 1;
+            free += p.cpus.max(0.0);
+            if p.cpus + SLACK >= least_cpus && p.memory + SLACK >= least_memory {
+                paper.push(p);
             }
         }
         for (offer, &n) in &self.fleet.asking {
+            let index = market.index(offer.0, &offer.1, offer.2);
+            market.there[index] += n;
             for _ in 0..n {
-                paper.push(self.paper_of(offer, false));
+                let p = self.paper_of(index, offer.0);
+                free += p.cpus;
+                paper.push(p);
             }
         }
         let dear = !self.ordinary_is_cheap();
         let mut soon_free = self.cpus_free_soon(now);
-        for (urgency, ix) in self.queue(now) {
+        for (urgency, ix) in queue {
             let Some(job) = self.job(ix) else { continue };
             if job.errors > 0 && job.error_machines.len() >= 3 {
                 continue; // No machine is rented for a job that fails everywhere.
             }
-            let room = self.room_in_team(ix);
-            let mut todo = job.pending().min(room);
-            for p in &mut paper {
-                while todo > 0 && self.paper_fits(ix, p) {
-                    take(p, job);
-                    todo -= 1;
+            let allowed: Vec<bool> =
+                market.offers.iter().map(|o| self.offer_allowed(job, o)).collect();
+            let mut todo = job.pending().min(self.room_in_team(ix));
+            for p in paper.iter_mut().filter(|p| allowed[p.offer]) {
+                if todo == 0 {
+                    break;
                 }
+                let n = p.take(&job.spec, todo);
+                todo -= n;
+                free -= f64::from(n) * job.spec.cpus;
+            }
+            if todo == 0 {
+                continue;
             }
             let boot = self.quickest_boot(ix);
             if urgency.slack > self.tun.rent_slack.as_secs() + boot
@@ -256,43 +343,41 @@
                 || (!self.others_can_give_way(ix, f64::from(todo) * job.spec.cpus)
                     && urgency.finish_slack < self.tun.ordinary_slack.as_secs()
                     && urgency.finish_slack > 0.5 * boot);
-            while todo > 0 && paper.len() < 400 {
-                let Some(offer) = self.best_offer(now, ix, ordinary, &paper) else { break };
-                if !offer.2 && dear && soon_free >= job.spec.cpus {
+            while todo > 0 && market.has_room() {
+                let spot_job = job.spec.spot;
+                let open = |i: usize| allowed[i] && (market.offers[i].2 || !spot_job || ordinary);
+                let Some(index) = market.cheapest(open) else { break };
+                let (kind, _, spot) = market.offers[index];
+                if !spot && dear && soon_free >= job.spec.cpus {
                     // Room that running work frees before a machine could boot.
                     soon_free -= job.spec.cpus;
                     todo -= 1;
                     continue;
                 }
-                let mut p = self.paper_of(&offer, true);
-                let before = todo;
-                while todo > 0 && self.paper_fits(ix, &p) {
-                    take(&mut p, job);
-                    todo -= 1;
-                }
-                if before == todo {
+                let mut p = self.paper_of(index, kind);
+                let n = p.take(&job.spec, todo);
+                if n == 0 {
                     break;
                 }
+                todo -= n;
+                free += p.cpus;
+                market.want(index);
                 paper.push(p);
             }
         }
-        let free: f64 = paper.iter().map(|p| p.cpus.max(0.0)).sum();
+        let cheap = self.ordinary_is_cheap();
         let mut lacking = self.headroom_cpus(now) - free;
-        while lacking > SLACK && paper.len() < 400 {
-            let Some(offer) = self.any_offer(now, &paper) else { break };
-            let p = self.paper_of(&offer, true);
-            lacking -= p.cpus;
-            paper.push(p);
+        while lacking > SLACK && market.has_room() {
+            // The cheapest machine to stand by, an ordinary one only where those are cheap.
+            let Some(index) = market.cheapest(|i| market.offers[i].2 || cheap) else { break };
+            lacking -= self.types[market.offers[index].0].cpus;
+            market.want(index);
         }
-        let mut wanted: HashMap<Offer, u32> = HashMap::new();
-        for p in paper.iter().filter(|p| p.new) {
-            *wanted.entry((p.kind, p.zone.clone(), p.spot)).or_default() += 1;
-        }
-        for (offer, count) in wanted {
-            if self.fleet.asking.get(&offer).copied().unwrap_or(0) > 0 {
+        for (offer, count) in market.offers.into_iter().zip(market.wanted) {
+            if count == 0 || self.fleet.asking.get(&offer).copied().unwrap_or(0) > 0 {
                 continue;
             }
-            let count = count.min(50);
+            let count = count.min(MOST_ASKED);
             self.fleet.asking.insert(offer.clone(), count);
             self.out.push(Command::Rent {
                 kind: self.types[offer.0].name.clone(),
@@ -303,6 +388,36 @@
         }
     }
 
+    /// All that the cloud offers at present.
+    fn market(&self, now: Time) -> Market {
+        let mut market = Market::default();
+        for (k, kind) in self.types.iter().enumerate() {
+            for zone in &kind.zones {
+                for spot in [true, false] {
+                    let price = if spot { kind.spot_price } else { kind.price };
+                    let offer = (k, zone.clone(), spot);
+                    let open = kind.cpus > 0.0 && self.open_offer(now, &offer);
+                    market.add(offer, price.max(0.0) / kind.cpus.max(SLACK), open);
+                }
+            }
+        }
+        market
+    }
+
+    /// Whether the job's tasks may be on a machine of the offer, were it empty.
+    fn offer_allowed(&self, job: &Job, offer: &Offer) -> bool {
+        let spec = &job.spec;
+        (spec.spot || !offer.2)
+            && spec.fits_type(&self.types[offer.0])
+            && spec.zone.as_ref().is_none_or(|z| *z == offer.1)
+            && (!spec.one_zone || job.zones.is_empty() || job.zones.contains_key(&offer.1))
+    }
+
+    fn paper_of(&self, offer: usize, kind: usize) -> Paper {
+        let kind = &self.types[kind];
+        Paper { offer, cpus: kind.cpus, gpus: kind.gpus, memory: kind.memory_gb }
+    }
+
     /// Processors that running tasks should free within a boot's time. Those of quick classes don't
     /// count: the next of their kind take their place.
     fn cpus_free_soon(&self, now: Time) -> f64 {
@@ -356,31 +471,6 @@
         fits.map(|t| t.boot_s).min_by(f64::total_cmp).unwrap_or(0.0)
     }
 
-    fn paper_of(&self, offer: &Offer, new: bool) -> Paper {
-        let kind = &self.types[offer.0];
-        Paper {
-            kind: offer.0,
-            zone: offer.1.clone(),
-            spot: offer.2,
-            cpus: kind.cpus,
-            gpus: kind.gpus,
-            memory: kind.memory_gb,
-            new,
-        }
-    }
-
-    fn paper_fits(&self, ix: JobIx, p: &Paper) -> bool {
-        let Some(job) = self.job(ix) else { return false };
-        let spec = &job.spec;
-        (spec.spot || !p.spot)
-            && spec.allows_type(&self.types[p.kind].name)
-            && spec.zone.as_ref().is_none_or(|z| *z == p.zone)
-            && spec.cpus <= p.cpus + SLACK
-            && spec.gpus <= p.gpus + SLACK
-            && spec.memory_gb <= p.memory + SLACK
-            && (!spec.one_zone || job.zones.is_empty() || job.zones.contains_key(&p.zone))
-    }
-
     /// How many more tasks of the job its team's limit allows.
     fn room_in_team(&self, ix: JobIx) -> u32 {
         let Some(job) = self.job(ix) else { return 0 };
@@ -400,77 +490,9 @@
         self.fleet.refused.get(offer).is_none_or(|&(until, _)| now >= until)
     }
 
-    /// The cheapest offer that the job allows, by price per processor. Among equals the zone with
-    /// fewest machines of the kind, so that one wave doesn't take them all.
-    fn best_offer(&self, now: Time, ix: JobIx, ordinary: bool, paper: &[Paper]) -> Option<Offer> {
-        let job = self.job(ix)?;
-        let spec = &job.spec;
-        let mut best: Option<(f64, usize, Offer)> = None;
-        for (k, kind) in self.types.iter().enumerate() {
-            if !spec.fits_type(kind) {
-                continue;
-            }
-            for zone in &kind.zones {
-                if spec.zone.as_ref().is_some_and(|z| z != zone)
-                    || (spec.one_zone
-                        && !job.zones.is_empty()
-                        && !job.zones.contains_key(zone.as_str()))
-                {
-                    continue;
-                }
-                for spot in [true, false] {
-                    if (spot && !spec.spot) || (!spot && spec.spot && !ordinary) {
-                        continue;
-                    }
-                    let offer = (k, zone.clone(), spot);
-                    if !self.open_offer(now, &offer) {
-                        continue;
-                    }
-                    let price = if spot { kind.spot_price } else { kind.price };
-                    let price = price.max(0.0) / kind.cpus.max(SLACK);
-                    let there = paper
-                        .iter()
-                        .filter(|p| p.kind == k && p.zone == *zone && p.spot == spot)
-                        .count();
-                    let key = (price, there, offer);
-                    let better = best
-                        .as_ref()
-                        .is_none_or(|b| key.0.total_cmp(&b.0).then(key.1.cmp(&b.1)).is_lt());
-                    if better {
-                        best = Some(key);
-                    }
-                }
-            }
-        }
-        best.map(|b| b.2)
-    }
-
-    /// The cheapest machine to stand by, an ordinary one only where those are cheap.
-    fn any_offer(&self, now: Time, paper: &[Paper]) -> Option<Offer> {
-        let kinds: &[bool] = if self.ordinary_is_cheap() { &[true, false] } else { &[true] };
-        let mut best: Option<(f64, usize, Offer)> = None;
-        for (k, kind) in self.types.iter().enumerate() {
-            for (zone, &spot) in kind.zones.iter().flat_map(|z| kinds.iter().map(move |s| (z, s))) {
-                let offer = (k, zone.clone(), spot);
-                if !self.open_offer(now, &offer) || kind.cpus <= 0.0 {
-                    continue;
-                }
-                let there = paper.iter().filter(|p| p.zone == *zone && p.spot == spot).count();
-                let price = if spot { kind.spot_price } else { kind.price }.max(0.0) / kind.cpus;
-                if best.as_ref().is_none_or(|b| price.total_cmp(&b.0).then(there.cmp(&b.1)).is_lt())
-                {
-                    best = Some((price, there, offer));
-                }
-            }
-        }
-        best.map(|b| b.2)
-    }
-
     /// Drains machines that have had nothing to do for a while, ordinary ones sooner.
     fn return_idle(&mut self, now: Time) {
-        if !self.queue(now).is_empty() {
-            return;
-        }
+        // A machine that stood idle while jobs waited is one that none of them can use.
         let mut free: f64 = self
             .machines
             .iter()
@@ -634,12 +656,6 @@
     }
 }
 
-fn take(p: &mut Paper, job: &crate::book::Job) {
-    p.cpus -= job.spec.cpus;
-    p.gpus -= job.spec.gpus;
-    p.memory -= job.spec.memory_gb;
-}
-
 impl Scheduler {
     /// Takes over newer machine types. The places of known ones don't change, since machines
     /// refer to them.
--- a/crates/core/tests/starts.rs
+++ b/crates/core/tests/starts.rs
@@ -595,3 +595,32 @@
     w.report("n-2");
     assert!(!w.leader.deaf(w.now), "one worker is heard");
 }
+
+/// The fleet once stopped growing at 400 machines, rented and wanted together, whatever waited.
+#[test]
+fn a_large_fleet_grows_as_far_as_the_work_needs() {
+    let names: Vec<String> = (0..500).map(|i| format!("n-{i:03}")).collect();
+    let machines: Vec<(&str, &str)> = names.iter().map(|n| (n.as_str(), "a")).collect();
+    let mut w = World::new(&machines);
+    w.leader.machine_list(w.now, &[]);
+    for i in 0..8 {
+        w.submit(&format!("req-00000{i}"), &JobSpec { cpus: 8.0, ..spec(100) });
+    }
+    w.all_report();
+    let mut got = 0;
+    for _ in 0..20 {
+        w.wait(600);
+        w.all_report();
+        w.settle();
+        w.leader.look_at_fleet(w.now);
+        for command in w.leader.take_commands() {
+            if let Command::Rent { kind, zone, spot, count } = command {
+                assert!(count <= 50, "by the protocol");
+                let names: Vec<String> = (0..count).map(|i| format!("r-{:04}", got + i)).collect();
+                got += count;
+                w.leader.rented(w.now, &kind, &zone, spot, count, Ok(names));
+            }
+        }
+    }
+    assert_eq!(got, 300, "800 tasks, a machine each, and 500 machines");
+}
