A round looks once a job at machines with room, and for work to stop once a round

Cause: choosing walked all machines for every task and every waiting job in every round; stopping built and sorted all running tasks for each blocked job; each tick walked all machines.

--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -125,6 +125,8 @@
     /// The tasks whose starts are in the outbox.
     pub starting: Vec<TaskId>,
     pub busy: bool,
+    /// Is on the list of those that something may have to be sent to.
+    pub noted: bool,
     /// Starts in the message under way, with their attempts.
     pub in_message: Vec<(TaskId, u32)>,
     pub retry_at: Time,
@@ -168,6 +170,8 @@
     pub dropping: bool,
     pub done: u32,
     pub placed: u32,
+    /// Of those placed, the ones told to stop.
+    pub stopping: u32,
     /// Tasks not proven absent, by zone.
     pub zones: BTreeMap<String, u32>,
     /// No task below this index is pending.
@@ -212,6 +216,12 @@
     writes: Option<(f64, f64)>,
     pub(crate) tally: crate::dispatch::Tally,
     pub dirty: bool,
+    pub(crate) last_preempt: Time,
+    /// Machines to be looked at for something to send, each once.
+    pub(crate) attention: Vec<MachineIx>,
+    pub(crate) last_sweep: Time,
+    /// Machines looked at for placing, for tests of what a round costs.
+    pub looked_at: u64,
     pub started_at: Time,
     pub fleet: crate::fleet::Fleet,
     /// Learned ratio of run time to the owner's estimate, by class: sum of logs and count.
@@ -265,6 +275,10 @@
             writes: None,
             tally: crate::dispatch::Tally::default(),
             dirty: true,
+            last_preempt: Time(0),
+            attention: Vec::new(),
+            last_sweep: Time(0),
+            looked_at: 0,
             started_at: now,
             fleet: crate::fleet::Fleet::default(),
             ratios: HashMap::new(),
@@ -343,6 +357,7 @@
             dropping: false,
             done: 0,
             placed: 0,
+            stopping: 0,
             zones: BTreeMap::new(),
             scan_from: 0,
             errors: 0,
@@ -430,6 +445,7 @@
             outbox: Vec::new(),
             starting: Vec::new(),
             busy: false,
+            noted: false,
             in_message: Vec::new(),
             retry_at: Time(0),
             idle_since: now,
@@ -559,6 +575,8 @@
             | Input::Seen
             | Input::Stop => {}
         }
+        job.stopping += u32::from(after == Phase::Stopping);
+        job.stopping -= u32::from(before == Phase::Stopping && after != Phase::Stopping);
         if after == Phase::Done {
             job.done += 1;
             job.errors = 0;
@@ -598,10 +616,20 @@
             let machine = &mut self.machines[task.machine as usize];
             if machine.state == MachineState::Up {
                 machine.outbox.push(call);
+                self.attend(task.machine);
             }
         }
     }
 
+    /// Something may have to be sent to the machine.
+    pub(crate) fn attend(&mut self, m: MachineIx) {
+        let machine = &mut self.machines[m as usize];
+        if !machine.noted {
+            machine.noted = true;
+            self.attention.push(m);
+        }
+    }
+
     /// Tasks of the job that are done and that run, for display.
     pub fn counts(&self, ix: JobIx) -> Option<(u32, u32)> {
         let job = self.job(ix)?;
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -13,6 +13,10 @@
 /// Times its delay after which evidence waits for nothing any more.
 const OVERDUE_EVIDENCE: u64 = 5;
 
+/// How often every machine is looked at for what time alone brings: an overdue report, a deadline,
+/// the end of a pause. What events bring is looked at when they come.
+const SWEEP_EVERY: Span = Span::millis(200);
+
 /// Changes written since it was told last, by kind.
 #[derive(Debug, Default)]
 pub(crate) struct Tally {
@@ -69,7 +73,11 @@
                 self.out.push(Command::Commit { id, txn });
             }
         }
-        self.settle(now);
+        let sweep = now.since(self.last_sweep) >= SWEEP_EVERY;
+        if sweep {
+            self.last_sweep = now;
+            self.settle(now);
+        }
         if now >= self.stalled_until
             && now.since(self.last_round) >= self.tun.round_every
             && self.txns.len() < self.tun.txns_in_flight as usize
@@ -82,7 +90,7 @@
             }
             self.write_round(now);
         }
-        self.flush(now);
+        self.flush(now, sweep);
     }
 
     /// Writes what the round decided, starts and ends first, as few transactions as the limits
@@ -395,6 +403,7 @@
         let task = job.tasks[id.1 as usize];
         if task.phase == Phase::Dispatching && task.token == 0 {
             self.machines[task.machine as usize].starting.push(id);
+            self.attend(task.machine);
         }
     }
 
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -14,6 +14,8 @@
 const SPOILT: f64 = 300.0;
 /// Seconds after which a missed aim on starting is given up, and the one on finishing counts.
 const GRACE: f64 = 1.5;
+/// Shortest time between two looks for work to stop: what was stopped needs a moment to go.
+const PREEMPT_EVERY: Span = Span::millis(100);
 /// Seconds that it takes to place a stopped task again.
 const RESTART: f64 = 10.0;
 
@@ -167,18 +169,17 @@
         team.allows(cpus + job.spec.cpus, gpus + job.spec.gpus)
     }
 
-    /// The fullest machine that fits. Fullness counts in quarters of a machine, so that ties are
-    /// common; they go to a machine with the image, then to the cheapest.
-    fn choose(&self, now: Time, job: &Job, only_zone: Option<&str>) -> Option<MachineIx> {
+    /// The machines among `open` that the job fits, the best first. The fullest comes first;
+    /// fullness counts in quarters of a machine, so that ties are common; they go to a machine with
+    /// the image, then to the cheapest. A task makes its machine fuller, so the best stays the best
+    /// until it is full: one look serves all tasks of the job.
+    fn candidates(&self, job: &Job, open: &[MachineIx]) -> Vec<MachineIx> {
         // Where the aim on starting leaves no time for a fetch, the image comes before fullness.
         let quick = self.site.wait_aim(&job.spec.class).is_some();
-        let mut best: Option<(i64, i64, f64, MachineIx)> = None;
-        for (ix, m) in self.machines.iter().enumerate() {
-            if !self.open_for_work(now, m)
-                || only_zone.is_some_and(|z| z != m.zone)
-                || !self.fits(job, m)
-                || !self.zone_allows(job, &m.zone)
-            {
+        let mut found: Vec<((i64, i64, f64), MachineIx)> = Vec::new();
+        for &ix in open {
+            let m = &self.machines[ix as usize];
+            if !self.fits(job, m) {
                 continue;
             }
             let Some(kind) = m.kind.and_then(|k| self.types.get(k)) else { continue };
@@ -186,24 +187,21 @@
             let has_image = m.images.contains(&job.spec.image);
             let ahead = if quick && has_image { 100 } else { 0 };
             let fullness = ahead - ((left * 4.0).ceil() as i64);
-            let cached = i64::from(has_image);
             let price = if m.spot { kind.spot_price } else { kind.price } / kind.cpus.max(SLACK);
-            let key = (fullness, cached, -price, ix as MachineIx);
-            if best
-                .is_none_or(|b| (key.0, key.1).cmp(&(b.0, b.1)).then(key.2.total_cmp(&b.2)).is_gt())
-            {
-                best = Some(key);
-            }
+            found.push(((fullness, i64::from(has_image), -price), ix));
         }
-        best.map(|b| b.3)
+        found.sort_by(|(a, x), (b, y)| {
+            (b.0, b.1).cmp(&(a.0, a.1)).then(b.2.total_cmp(&a.2)).then(x.cmp(y))
+        });
+        found.into_iter().map(|f| f.1).collect()
     }
 
     /// For a job whose tasks must share a zone: the zone with most room for it, while none of it
     /// is placed.
-    fn zone_for(&self, now: Time, job: &Job) -> Option<String> {
+    fn zone_for(&self, job: &Job, open: &[MachineIx]) -> Option<String> {
         let mut room: std::collections::BTreeMap<&str, u32> = Default::default();
-        for m in &self.machines {
-            if !self.open_for_work(now, m) || !self.fits(job, m) {
+        for m in open.iter().map(|&ix| &self.machines[ix as usize]) {
+            if !self.fits(job, m) {
                 continue;
             }
             let Some(kind) = m.kind.and_then(|k| self.types.get(k)) else { continue };
@@ -216,111 +214,154 @@
         room.into_iter().max_by_key(|&(_, n)| n).map(|(z, _)| z.to_owned())
     }
 
-    /// One round of decisions over everything that waits.
+    /// One round of decisions over everything that waits. Which machines have any room is looked up
+    /// once; a job then looks at those alone, so that a round costs about what it changes and not
+    /// tasks times machines.
     pub fn place(&mut self, now: Time) {
+        let queue = self.queue(now);
+        if queue.is_empty() {
+            return;
+        }
+        let mut least = (f64::INFINITY, f64::INFINITY);
+        for job in queue.iter().filter_map(|&(_, ix)| self.job(ix)) {
+            least = (least.0.min(job.spec.cpus), least.1.min(job.spec.memory_gb));
+        }
+        let roomy = |s: &Scheduler, m: &Machine| {
+            m.kind.and_then(|k| s.types.get(k)).is_some_and(|kind| {
+                kind.cpus - m.cpus + SLACK >= least.0
+                    && kind.memory_gb - m.memory + SLACK >= least.1
+            })
+        };
+        let mut open: Vec<MachineIx> = (0..self.machines.len() as MachineIx)
+            .filter(|&ix| {
+                let m = &self.machines[ix as usize];
+                roomy(self, m) && self.open_for_work(now, m)
+            })
+            .collect();
         let mut blocked: Vec<(Urgency, JobIx)> = Vec::new();
-        for (urgency, ix) in self.queue(now) {
-            let Some(job) = self.job(ix) else { continue };
-            let zone = (job.spec.one_zone && job.zones.is_empty())
-                .then(|| self.zone_for(now, job))
-                .flatten();
-            let mut index = job.scan_from;
-            let total = job.spec.tasks;
-            let mut stuck = false;
-            while index < total {
-                let Some(job) = self.job(ix) else { break };
-                if job.tasks[index as usize].phase != Phase::Pending {
-                    index += 1;
-                    continue;
-                }
-                if !self.team_allows(job) {
-                    break;
-                }
-                let Some(m) = self.choose(now, job, zone.as_deref()) else {
-                    stuck = true;
-                    break;
-                };
-                self.dispatch(now, (ix, index), m);
+        for (urgency, ix) in queue {
+            self.looked_at += open.len() as u64;
+            if self.place_job(now, ix, &open) {
+                blocked.push((urgency, ix));
+            } else {
+                open.retain(|&ix| roomy(self, &self.machines[ix as usize]));
+            }
+        }
+        self.preempt(now, &blocked);
+    }
+
+    /// Places what it can of one job; whether tasks are left that found no machine.
+    fn place_job(&mut self, now: Time, ix: JobIx, open: &[MachineIx]) -> bool {
+        let Some(job) = self.job(ix) else { return false };
+        let zone =
+            (job.spec.one_zone && job.zones.is_empty()).then(|| self.zone_for(job, open)).flatten();
+        let machines = self.candidates(job, open);
+        let mut machines = machines.into_iter().peekable();
+        let mut index = job.scan_from;
+        let total = job.spec.tasks;
+        let mut stuck = false;
+        while index < total {
+            let Some(job) = self.job(ix) else { break };
+            if job.tasks[index as usize].phase != Phase::Pending {
                 index += 1;
+                continue;
             }
-            if let Some(job) = self.jobs.get_mut(&ix) {
-                job.scan_from = index;
+            if !self.team_allows(job) {
+                break;
             }
-            if stuck {
-                blocked.push((urgency, ix));
+            let Some(&m) = machines.peek() else {
+                stuck = true;
+                break;
+            };
+            let machine = &self.machines[m as usize];
+            if zone.as_ref().is_some_and(|z| *z != machine.zone)
+                || !self.fits(job, machine)
+                || !self.zone_allows(job, &machine.zone)
+            {
+                machines.next();
+                continue;
             }
+            self.dispatch(now, (ix, index), m);
+            index += 1;
         }
-        self.preempt(now, &blocked);
+        if let Some(job) = self.jobs.get_mut(&ix) {
+            job.scan_from = index;
+        }
+        stuck
     }
 
     /// Stops work of lower priority for urgent jobs that found no room: the least lost work
-    /// first, and no more than they need beyond the room that is already being made.
+    /// first, and no more than they need beyond the room that is already being made. What could be
+    /// stopped is looked up once for all of them.
     fn preempt(&mut self, now: Time, blocked: &[(Urgency, JobIx)]) {
-        let mut coming: f64 = self
-            .machines
+        let pressed = |u: &Urgency| u.slack <= self.tun.preempt_slack.as_secs();
+        let blocked: Vec<(Urgency, JobIx)> = blocked
             .iter()
-            .filter(|m| m.state == MachineState::Up)
-            .flat_map(|m| m.tasks.iter())
-            .filter_map(|id| {
-                let job = self.job(id.0)?;
-                (job.tasks[id.1 as usize].phase == Phase::Stopping).then_some(job.spec.cpus)
-            })
-            .sum();
-        for &(urgency, ix) in blocked {
-            if urgency.slack > self.tun.preempt_slack.as_secs() {
+            .filter(|(u, ix)| pressed(u) && self.job(*ix).is_some_and(|j| self.team_allows(j)))
+            .copied()
+            .collect();
+        let Some(highest) = blocked.iter().map(|b| b.0.rank).max() else { return };
+        if now.since(self.last_preempt) < PREEMPT_EVERY {
+            self.dirty = true;
+            return;
+        }
+        self.last_preempt = now;
+        let owed = blocked.iter().any(|b| b.0.owed);
+        let mut coming = 0.0;
+        let mut victims: Vec<(f64, TaskId, f64)> = Vec::new();
+        for (&ix, other) in &self.jobs {
+            let lower = other.spec.rank < highest || owed;
+            if other.placed == 0 {
                 continue;
             }
-            let Some(job) = self.job(ix) else { continue };
-            if !self.team_allows(job) {
+            coming += f64::from(other.stopping) * other.spec.cpus;
+            if !lower {
                 continue;
             }
+            for (&index, &began) in &other.started {
+                let task = &other.tasks[index as usize];
+                if task.phase != Phase::Running {
+                    continue;
+                }
+                let ran = now.since(began).as_secs();
+                let lost =
+                    if other.spec.checkpoint_s > 0.0 { other.spec.save_s.min(ran) } else { ran };
+                let mut cost = lost;
+                if self.would_be_late(now, other, ran) {
+                    cost += SPOILT;
+                }
+                victims.push((cost, (ix, index), other.spec.cpus));
+            }
+        }
+        victims.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        let mut stopped = vec![false; victims.len()];
+        for (urgency, ix) in blocked {
+            let Some(job) = self.job(ix) else { continue };
             let mut need = f64::from(job.pending()) * job.spec.cpus.max(0.1);
             let used = need.min(coming);
             coming -= used;
             need -= used;
-            if need <= SLACK {
-                continue;
-            }
-            let mut victims: Vec<(f64, TaskId, f64)> = Vec::new();
-            for m in &self.machines {
-                if !self.open_for_work(now, m) {
+            let fits: Vec<bool> = self.types.iter().map(|t| job.spec.fits_type(t)).collect();
+            for (at, &(_, id, cpus)) in victims.iter().enumerate() {
+                if need <= SLACK {
+                    break;
+                }
+                let (Some(job), Some(other)) = (self.job(ix), self.job(id.0)) else { continue };
+                if stopped[at] || !self.may_stop(urgency, job, other) {
                     continue;
                 }
                 // Only where the job could run at all were the machine empty of victims.
-                let Some(kind) = m.kind.and_then(|k| self.types.get(k)) else { continue };
-                let fits = (job.spec.spot || !m.spot)
-                    && job.spec.fits_type(kind)
-                    && job.spec.zone.as_ref().is_none_or(|z| *z == m.zone)
-                    && self.zone_allows(job, &m.zone);
-                if !fits {
+                let m = &self.machines[other.tasks[id.1 as usize].machine as usize];
+                if !m.kind.is_some_and(|k| fits[k])
+                    || (m.spot && !job.spec.spot)
+                    || job.spec.zone.as_ref().is_some_and(|z| *z != m.zone)
+                    || !self.open_for_work(now, m)
+                    || !self.zone_allows(job, &m.zone)
+                {
                     continue;
                 }
-                for &id in &m.tasks {
-                    let Some(other) = self.job(id.0) else { continue };
-                    let phase = other.tasks[id.1 as usize].phase;
-                    if phase != Phase::Running || !self.may_stop(urgency, job, other) {
-                        continue;
-                    }
-                    let ran = other.started.get(&id.1).map_or(0.0, |&t| now.since(t).as_secs());
-                    let lost = if other.spec.checkpoint_s > 0.0 {
-                        other.spec.save_s.min(ran)
-                    } else {
-                        ran
-                    };
-                    let mut cost = lost * other.spec.cpus;
-                    if self.would_be_late(now, other, ran) {
-                        cost += SPOILT * other.spec.cpus;
-                    }
-                    victims.push((cost, id, other.spec.cpus));
-                }
-            }
-            victims.sort_by(|a, b| (a.0 / a.2.max(0.1)).total_cmp(&(b.0 / b.2.max(0.1))));
-            for (_, id, cpus) in victims {
-                if need <= SLACK {
-                    break;
-                }
+                stopped[at] = true;
                 need -= cpus;
-                let Some(other) = self.job(id.0) else { continue };
                 let grace = grace_of(&other.spec);
                 let text = format!("{}/{} gives way to a more urgent job", other.name, id.1);
                 self.note(text);
--- a/crates/core/src/receipts.rs
+++ b/crates/core/src/receipts.rs
@@ -15,11 +15,18 @@
 }
 
 impl Scheduler {
-    /// Sends what waits for workers: one message under way per worker.
-    pub(crate) fn flush(&mut self, now: Time) {
+    /// Sends what waits for workers: one message under way per worker. Without a sweep only those
+    /// machines are looked at that something happened to.
+    pub(crate) fn flush(&mut self, now: Time, sweep: bool) {
         let term = self.term;
         let overdue = self.site.report.scale(OVERDUE);
-        for ix in 0..self.machines.len() {
+        let noted = std::mem::take(&mut self.attention);
+        for &ix in &noted {
+            self.machines[ix as usize].noted = false;
+        }
+        let all = if sweep { 0..self.machines.len() } else { 0..0 };
+        let noted = noted.into_iter().map(|ix| ix as usize).filter(|_| !sweep);
+        for ix in all.chain(noted) {
             let m = &self.machines[ix];
             // A machine of the last leader's that has not reported yet is asked at the address that
             // the cloud or another node tells, so that a take-over doesn't wait for its next report.
@@ -60,6 +67,8 @@
         let Some(machine) = self.machines.get_mut(m as usize) else { return };
         machine.busy = false;
         let starts = std::mem::take(&mut machine.in_message);
+        self.attend(m);
+        let machine = &mut self.machines[m as usize];
         match outcome {
             DirectOutcome::Answered(report) => {
                 if report.machine == machine.name {
@@ -206,6 +215,7 @@
             return m;
         }
         self.adopt(now, m, report);
+        self.attend(m);
         let mut seen: HashMap<(&str, u32), &wire::TaskReport> = HashMap::new();
         let mut foreign = 0;
         for entry in &report.tasks {
--- a/crates/core/tests/starts.rs
+++ b/crates/core/tests/starts.rs
@@ -678,3 +678,34 @@
     assert_eq!(commits[0].apply.len(), 1);
     assert!(commits[0].guards.iter().any(|g| g.key == keys::run("req-000003", 0)));
 }
+
+/// A round's cost at full size, counted in machines looked at. It once was tasks times machines: each
+/// of a burst's tasks looked at all of some hundred machines, and so did every job that waited, in
+/// every round.
+#[test]
+fn a_round_looks_at_machines_with_room_and_once_a_job() {
+    let names: Vec<String> = (0..800).map(|i| format!("n-{i:03}")).collect();
+    let machines: Vec<(&str, &str)> = names.iter().map(|n| (n.as_str(), "a")).collect();
+    let mut w = World::new(&machines);
+    w.submit("req-000001", &JobSpec { cpus: 8.0, ..spec(300) });
+    w.tick();
+    assert_eq!(w.leader.looked_at, 800, "one look for 300 tasks");
+    w.settle();
+    assert_eq!(w.places().len(), 300);
+    w.submit("req-000002", &JobSpec { cpus: 8.0, ..spec(500) });
+    w.settle();
+    assert_eq!(w.places().len(), 800);
+    for i in 10..70 {
+        w.submit(&format!("req-0000{i}"), &spec(300));
+    }
+    let before = w.leader.looked_at;
+    w.leader.dirty = true;
+    w.tick();
+    assert_eq!(w.leader.looked_at - before, 0, "60 jobs wait and no machine has room");
+    // One machine has room: it alone is looked at, until it is full.
+    w.finish("n-007", &w.places().into_iter().find(|p| p.1[0] == "n-007").expect("task").0);
+    w.report("n-007");
+    let before = w.leader.looked_at;
+    w.tick();
+    assert_eq!(w.leader.looked_at - before, 1);
+}
