--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -243,9 +243,8 @@
             self.looked_at += open.len() as u64;
             if self.place_job(now, ix, &open) {
                 blocked.push((urgency, ix));
-            } else {
-                open.retain(|&ix| roomy(self, &self.machines[ix as usize]));
             }
+            open.retain(|&ix| roomy(self, &self.machines[ix as usize]));
         }
         self.preempt(now, &blocked);
     }
