--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -220,6 +220,8 @@
     /// Machines to be looked at for something to send, each once.
     pub(crate) attention: Vec<MachineIx>,
     pub(crate) last_sweep: Time,
+    /// Messages to workers whose outcome is open.
+    pub(crate) under_way: usize,
     /// Machines looked at for placing, for tests of what a round costs.
     pub looked_at: u64,
     pub started_at: Time,
@@ -278,6 +280,7 @@
             last_preempt: Time(0),
             attention: Vec::new(),
             last_sweep: Time(0),
+            under_way: 0,
             looked_at: 0,
             started_at: now,
             fleet: crate::fleet::Fleet::default(),
--- a/crates/core/src/receipts.rs
+++ b/crates/core/src/receipts.rs
@@ -20,6 +20,7 @@
     pub(crate) fn flush(&mut self, now: Time, sweep: bool) {
         let term = self.term;
         let overdue = self.site.report.scale(OVERDUE);
+        let most_questions = self.site.most_messages / 3 + 1;
         let noted = std::mem::take(&mut self.attention);
         for &ix in &noted {
             self.machines[ix as usize].noted = false;
@@ -32,7 +33,11 @@
             // the cloud or another node tells, so that a take-over doesn't wait for its next report.
             let asked = m.state == MachineState::Booting && (m.said_up || !m.tasks.is_empty());
             let known = m.state == MachineState::Up || asked;
-            let can_send = known && !m.busy && now >= m.retry_at && !m.address.is_empty();
+            let can_send = known
+                && !m.busy
+                && now >= m.retry_at
+                && !m.address.is_empty()
+                && self.under_way < self.site.most_messages;
             // A fence that was raised for a lost send, or a new term, is shown to the worker at
             // once instead of with its next report.
             // (The first answer of a worker whose session wasn't known shows the session only; the
@@ -44,10 +49,17 @@
             let missed = m.state == MachineState::Up && now.since(m.last_report) > overdue;
             let (ids, starts) = self.last_look(now, ix as MachineIx, can_send);
             let m = &mut self.machines[ix];
-            if !can_send || (m.outbox.is_empty() && starts.is_empty() && !unseen && !missed) {
+            // Mere questions are paced: at a take-over the whole fleet is asked.
+            let ask_later =
+                m.outbox.is_empty() && starts.is_empty() && self.under_way >= most_questions;
+            if ask_later
+                || !can_send
+                || (m.outbox.is_empty() && starts.is_empty() && !unseen && !missed)
+            {
                 continue;
             }
             m.busy = true;
+            self.under_way += 1;
             m.in_message = ids;
             let mut calls = std::mem::take(&mut m.outbox);
             calls.extend(starts);
@@ -65,7 +77,9 @@
     /// The answer to a [`Command::Direct`].
     pub fn direct_answer(&mut self, now: Time, m: MachineIx, outcome: DirectOutcome) {
         let Some(machine) = self.machines.get_mut(m as usize) else { return };
-        machine.busy = false;
+        if std::mem::take(&mut machine.busy) {
+            self.under_way = self.under_way.saturating_sub(1);
+        }
         let starts = std::mem::take(&mut machine.in_message);
         self.attend(m);
         let machine = &mut self.machines[m as usize];
--- a/crates/core/src/tunables.rs
+++ b/crates/core/src/tunables.rs
@@ -100,6 +100,8 @@
     pub value_bytes: usize,
     pub txn_ops: usize,
     pub list_lag: Span,
+    /// Messages to workers that may be under way at once.
+    pub most_messages: usize,
 }
 
 impl Site {
@@ -173,6 +175,7 @@
             value_bytes: 4096,
             txn_ops: 12,
             list_lag: Span::secs(4),
+            most_messages: 300,
         };
         for _ in 0..2 {
             assert_eq!(site.wait_aim("c"), Some(Span::secs(3)));
--- a/crates/core/tests/starts.rs
+++ b/crates/core/tests/starts.rs
@@ -709,3 +709,31 @@
     w.tick();
     assert_eq!(w.leader.looked_at - before, 1);
 }
+
+/// A take-over asks the whole fleet, a part at a time: sockets and processor are for starts and for
+/// answers to workers first.
+#[test]
+fn a_take_over_asks_a_large_fleet_in_parts() {
+    let names: Vec<String> = (0..800).map(|i| format!("n-{i:03}")).collect();
+    let machines: Vec<(&str, &str)> = names.iter().map(|n| (n.as_str(), "a")).collect();
+    let mut w = World::new(&machines);
+    w.take_over();
+    for name in &names {
+        w.leader.hint_address(w.now, name, "10.0.0.1:1");
+    }
+    let mut rounds = 0;
+    let seen = |w: &World| w.leader.machines.iter().filter(|m| m.seen_token > 0).count();
+    while seen(&w) < 800 {
+        rounds += 1;
+        assert!(rounds < 60, "{} of 800 asked after 60 rounds", seen(&w));
+        w.wait(150);
+        w.tick();
+        let sent = std::mem::take(&mut w.commands);
+        assert!(sent.len() <= 101, "{} at once", sent.len());
+        for command in sent {
+            if let Command::Direct { machine, token, session, calls, .. } = command {
+                w.deliver(machine, token, session, &calls);
+            }
+        }
+    }
+}
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -204,6 +204,7 @@
         value_bytes: 4096,
         txn_ops: 12,
         list_lag: Span::secs(4),
+        most_messages: 300,
     }
 }
 
--- a/crates/walnutlug/src/http/client.rs
+++ b/crates/walnutlug/src/http/client.rs
@@ -1,7 +1,7 @@
 //! A client that keeps connections open and never repeats a request by itself. Whether a failure
 //! can mean that the request was executed is the difference between its two errors.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -29,25 +29,102 @@
 const MOST_BODY: usize = 16 * 1024 * 1024;
 const MOST_HEAD: usize = 16 * 1024;
 const IDLE_KEPT: usize = 4;
+/// Connections kept open where nothing else is said.
+const MOST_OPEN: usize = 200;
 const IDLE_FOR: Duration = Duration::from_secs(20);
 
-struct Idle {
-    stream: TcpStream,
-    since: Instant,
+/// Connections that wait for their next use, the longest idle first for each address.
+struct Pool<T> {
+    idle: HashMap<SocketAddrV4, Vec<(T, Instant)>>,
+}
+
+impl<T> Pool<T> {
+    fn len(&self) -> usize {
+        self.idle.values().map(Vec::len).sum()
+    }
+
+    fn keep(&mut self, addr: SocketAddrV4, connection: T) {
+        let list = self.idle.entry(addr).or_default();
+        if list.len() < IDLE_KEPT {
+            list.push((connection, Instant::now()));
+        }
+    }
+
+    /// The one used last that is not too old and still `good`.
+    fn take(&mut self, addr: SocketAddrV4, good: impl Fn(&T) -> bool) -> Option<T> {
+        let list = self.idle.get_mut(&addr)?;
+        while let Some((connection, since)) = list.pop() {
+            if since.elapsed() <= IDLE_FOR && good(&connection) {
+                return Some(connection);
+            }
+        }
+        self.idle.remove(&addr);
+        None
+    }
+
+    /// Closes those that have been idle longest until at most `most` are left.
+    fn shrink(&mut self, most: usize) {
+        for _ in most..self.len() {
+            let all = self.idle.iter();
+            let first = all.filter_map(|(&addr, list)| Some((list.first()?.1, addr)));
+            let Some((_, addr)) = first.min() else { return };
+            if let Some(list) = self.idle.get_mut(&addr) {
+                list.remove(0);
+                if list.is_empty() {
+                    self.idle.remove(&addr);
+                }
+            }
+        }
+    }
 }
 
 /// What a scripted peer says to a request, in tests.
 #[cfg(test)]
 pub type Script = Box<dyn Fn(&str, &str, &[u8]) -> Result<Response, Failure>>;
 
-#[derive(Default)]
 pub struct Client {
-    idle: RefCell<HashMap<SocketAddrV4, Vec<Idle>>>,
+    idle: RefCell<Pool<TcpStream>>,
+    /// Connections in use, and most of all together: an idle one is closed for a new one, or the
+    /// pool would take the sockets that users need.
+    in_use: Cell<usize>,
+    most: usize,
     #[cfg(test)]
     script: Option<Script>,
 }
 
+impl Default for Client {
+    fn default() -> Client {
+        Client::with_most(MOST_OPEN)
+    }
+}
+
+/// Counts a connection as out of use, however its request ends.
+struct InUse<'a>(&'a Cell<usize>);
+
+impl<'a> InUse<'a> {
+    fn new(count: &'a Cell<usize>) -> InUse<'a> {
+        count.set(count.get() + 1);
+        InUse(count)
+    }
+}
+
+impl Drop for InUse<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 impl Client {
+    pub fn with_most(most: usize) -> Client {
+        Client {
+            idle: RefCell::new(Pool { idle: HashMap::new() }),
+            in_use: Cell::new(0),
+            most,
+            #[cfg(test)]
+            script: None,
+        }
+    }
+
     #[cfg(test)]
     pub fn scripted(script: Script) -> Client {
         Client { script: Some(script), ..Client::default() }
@@ -66,7 +143,13 @@
             return script(method, path, body);
         }
         let deadline = Instant::now() + within;
-        let mut stream = match self.take_idle(addr) {
+        let _in_use = InUse::new(&self.in_use);
+        let kept = self.take_idle(addr);
+        if kept.is_none() {
+            // Those in use count, this one among them.
+            self.idle.borrow_mut().shrink(self.most.saturating_sub(self.in_use.get()));
+        }
+        let mut stream = match kept {
             Some(stream) => stream,
             None => match timeout(within, TcpStream::connect(addr)).await {
                 Ok(Ok(stream)) => {
@@ -90,7 +173,7 @@
         match tokio::time::timeout_at(deadline, exchange).await {
             Ok(Ok((response, keep))) => {
                 if keep {
-                    self.keep(addr, stream);
+                    self.idle.borrow_mut().keep(addr, stream);
                 }
                 Ok(response)
             }
@@ -99,34 +182,12 @@
     }
 
     fn take_idle(&self, addr: SocketAddrV4) -> Option<TcpStream> {
-        let mut idle = self.idle.borrow_mut();
-        let list = idle.get_mut(&addr)?;
-        while let Some(entry) = list.pop() {
-            if entry.since.elapsed() > IDLE_FOR {
-                continue;
-            }
+        self.idle.borrow_mut().take(addr, |stream| {
             // A connection that has something to read, or was closed, is of no use any more.
             let mut probe = [0u8; 1];
-            match entry.stream.try_read(&mut probe) {
-                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return Some(entry.stream),
-                _ => continue,
-            }
-        }
-        None
-    }
-
-    fn keep(&self, addr: SocketAddrV4, stream: TcpStream) {
-        let mut idle = self.idle.borrow_mut();
-        if idle.len() > 200 {
-            idle.retain(|_, list| {
-                list.retain(|e| e.since.elapsed() <= IDLE_FOR);
-                !list.is_empty()
-            });
-        }
-        let list = idle.entry(addr).or_default();
-        if list.len() < IDLE_KEPT {
-            list.push(Idle { stream, since: Instant::now() });
-        }
+            let read = stream.try_read(&mut probe);
+            matches!(read, Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
+        })
     }
 }
 
@@ -190,6 +251,25 @@
 mod tests {
     use super::*;
 
+    #[tokio::test(start_paused = true)]
+    async fn idle_connections_are_bounded_in_all_and_the_oldest_go() {
+        let mut pool = Pool { idle: HashMap::new() };
+        let addr = |port| SocketAddrV4::new([10, 0, 0, 1].into(), port);
+        for port in 0..30 {
+            pool.keep(addr(port), port);
+            tokio::time::advance(Duration::from_millis(10)).await;
+            pool.shrink(10);
+        }
+        assert_eq!(pool.len(), 10);
+        assert!(pool.idle.keys().all(|a| a.port() >= 20));
+        assert_eq!(pool.take(addr(25), |_| true), Some(25));
+        assert_eq!(pool.take(addr(26), |_| false), None, "closed by the other side");
+        tokio::time::advance(IDLE_FOR).await;
+        assert_eq!(pool.take(addr(27), |_| true), None, "too old");
+        pool.shrink(0);
+        assert_eq!(pool.len(), 0);
+    }
+
     #[test]
     fn heads_are_read_whole_or_not_at_all() {
         let good = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}";
--- a/crates/walnutlug/src/http/server.rs
+++ b/crates/walnutlug/src/http/server.rs
@@ -72,12 +72,13 @@
 
 /// Accepts for ever. Beyond `most` connections new ones are closed at once, so that the node
 /// always has sockets left for its own requests.
-pub async fn serve<H, F>(listener: TcpListener, most: u32, handler: H)
+///
+/// `open` counts them for whoever has to make room.
+pub async fn serve<H, F>(listener: TcpListener, most: u32, open: Rc<Cell<u32>>, handler: H)
 where
     H: Fn(Request) -> F + Clone + 'static,
     F: Future<Output = Answer> + 'static,
 {
-    let open = Rc::new(Cell::new(0u32));
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
--- a/crates/walnutlug/src/node.rs
+++ b/crates/walnutlug/src/node.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -21,16 +22,20 @@
 use crate::http::client::Client;
 use crate::http::server::{self, Answer, Request};
 use crate::peers::{self, Frame};
-use crate::settings::Settings;
+use crate::settings::{Settings, Sockets};
 use crate::state::{leader_value, Class, State, StateError};
 use crate::{users, workers};
 
 /// How long a leader that gave way leaves the lead to others.
 const ASIDE: Span = Span::secs(15);
 
+/// How long what another node said of itself is worth something.
+const PEER_FRESH: Duration = Duration::from_secs(4);
+
 /// How long an address that another node told is worth asking at.
 const ADDRESS_FRESH: Duration = Duration::from_secs(20);
-const ADDRESSES_EVERY: u32 = 5;
+/// Frames of addresses told in one second: a large fleet is told in turns.
+const ADDRESS_FRAMES: usize = 2;
 const MOST_ADDRESSES: usize = 2_000;
 
 /// What another node last said of itself.
@@ -38,6 +43,8 @@
     heard: Instant,
     served: bool,
     redirected: u16,
+    life: u64,
+    count: u64,
 }
 
 pub struct Node {
@@ -67,7 +74,14 @@
     ready_once: Cell<bool>,
     told: RefCell<HashMap<String, (u32, u32)>>,
     /// Where machines can be reached, as the leader told lately: for a quick take-over.
-    addresses: RefCell<HashMap<String, (String, Instant)>>,
+    addresses: RefCell<HashMap<String, (SocketAddrV4, Instant)>>,
+    /// The name up to which machines' addresses were told in this turn.
+    addresses_told: RefCell<String>,
+    /// Connections from users and workers.
+    open: Rc<Cell<u32>>,
+    /// Tells this life of the node from its former ones.
+    life: u64,
+    statuses: Cell<u64>,
 }
 
 /// Where the node's steady clock begins. Not at nothing, so that times before the start of this
@@ -112,6 +126,10 @@
             ready_once: Cell::new(false),
             told: RefCell::default(),
             addresses: RefCell::default(),
+            addresses_told: RefCell::default(),
+            open: Rc::default(),
+            life: SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64),
+            statuses: Cell::new(0),
             settings,
         })
     }
@@ -160,13 +178,23 @@
 
     pub fn peer_frame(&self, frame: Frame) {
         match frame {
-            Frame::Status { name, term, leading, served, redirected } => {
+            Frame::Status { name, term, leading, served, redirected, life, count } => {
                 if leading {
                     self.learn_keeper(&name, term);
                 }
                 let heard = Instant::now();
-                let state = PeerState { heard, served, redirected };
+                let state = PeerState { heard, served, redirected, life, count };
                 let mut states = self.peer_states.borrow_mut();
+                // A frame of the node's former life, or one held back, says nothing of now. (Lives
+                // are told apart by the time of day, which may wander: one that has long been
+                // silent gives way to any other.)
+                let stale = states.get(&name).is_some_and(|known| {
+                    (known.life, known.count) >= (life, count) && known.heard.elapsed() < PEER_FRESH
+                });
+                if stale {
+                    debug!(peer = %name, "a status of the past is passed over");
+                    return;
+                }
                 if states.len() < 64 || states.contains_key(&name) {
                     states.insert(name, state);
                 }
@@ -178,26 +206,29 @@
                 self.new_work.notify_one();
             }
             Frame::NewJob { .. } => self.new_work.notify_one(),
-            Frame::Machine { name, address } => {
+            Frame::Machines(list) => {
                 let mut known = self.addresses.borrow_mut();
-                if known.len() >= MOST_ADDRESSES {
+                if known.len() + list.len() > MOST_ADDRESSES {
                     known.retain(|_, (_, heard)| heard.elapsed() < ADDRESS_FRESH);
                 }
-                if known.len() < MOST_ADDRESSES {
-                    known.insert(name, (address, Instant::now()));
+                let heard = Instant::now();
+                for (name, addr) in list {
+                    if known.len() < MOST_ADDRESSES || known.contains_key(&name) {
+                        known.insert(name, (addr, heard));
+                    }
                 }
             }
         }
     }
 
     fn a_peer_is_served(&self) -> bool {
-        let fresh = Duration::from_secs(4);
-        self.peer_states.borrow().values().any(|p| p.served && p.heard.elapsed() < fresh)
+        let states = self.peer_states.borrow();
+        states.values().any(|p| p.served && p.heard.elapsed() < PEER_FRESH)
     }
 
     fn workers_go_elsewhere(&self) -> bool {
-        let fresh = Duration::from_secs(4);
-        self.peer_states.borrow().values().any(|p| p.redirected > 0 && p.heard.elapsed() < fresh)
+        let states = self.peer_states.borrow();
+        states.values().any(|p| p.redirected > 0 && p.heard.elapsed() < PEER_FRESH)
     }
 
     /// Ready once the node can decide. In an outage for all it stays ready and says 503 with a
@@ -245,7 +276,8 @@
 async fn serve(settings: Settings, tunables: Tunables) -> std::io::Result<()> {
     let listener = TcpListener::bind(settings.listen).await?;
     let internal = TcpListener::bind(settings.internal).await?;
-    let client = Rc::new(Client::default());
+    let sockets = Sockets::share(settings.fd_limit);
+    let client = Rc::new(Client::with_most(sockets.outbound as usize));
     let mut peer_queues = Vec::new();
     for peer in &settings.peers {
         debug!(peer = %peer.name, "peer");
@@ -253,7 +285,6 @@
         peer_queues.push(queue);
         tokio::task::spawn_local(peers::talk(peer.addr, rx));
     }
-    let most = settings.fd_limit * 7 / 10;
     let node = Rc::new(Node::new(settings, tunables, client, peer_queues)?);
     node.state.lead(false);
     tokio::task::spawn_local(peers::listen(node.clone(), internal));
@@ -262,7 +293,9 @@
     tokio::task::spawn_local(tell_status(node.clone()));
     tokio::task::spawn_local(tell_times(node.clone()));
     let handler_node = node.clone();
-    server::serve(listener, most, move |request| handle(handler_node.clone(), request)).await;
+    let open = node.open.clone();
+    let handler = move |request| handle(handler_node.clone(), request);
+    server::serve(listener, sockets.inbound, open, handler).await;
     Ok(())
 }
 
@@ -276,7 +309,13 @@
             _ => Answer::error(405, "use GET"),
         },
         "/hello" => match method {
-            "POST" => workers::hello(&node, &request.body),
+            "POST" => {
+                let mut answer = workers::hello(&node, &request.body);
+                // Workers find their way back with the next report; a user may not find a socket.
+                answer.close |=
+                    node.open.get() > Sockets::share(node.settings.fd_limit).workers_kept;
+                answer
+            }
             _ => Answer::error(405, "use POST"),
         },
         "/submissions" => match method {
@@ -353,16 +392,17 @@
             leading,
             served: node.state.served(),
             redirected: node.redirected.get(),
+            life: node.life,
+            count: node.statuses.get(),
         });
+        node.statuses.set(node.statuses.get() + 1);
         count += 1;
         if count.is_multiple_of(6) {
             node.redirected.set(0);
         }
         if leading {
             tell_progress(&node);
-            if count.is_multiple_of(ADDRESSES_EVERY) {
-                tell_addresses(&node);
-            }
+            tell_addresses(&node);
         }
         let probe = node.clone();
         tokio::task::spawn_local(async move { probe.state.probe().await });
@@ -385,11 +425,29 @@
     }
 }
 
+/// Tells the next few of the machines, by name, beginning anew after the last.
 fn tell_addresses(node: &Node) {
     let scheduler = node.scheduler.borrow();
     let Some(s) = scheduler.as_ref() else { return };
-    for m in s.machines.iter().filter(|m| m.state == MachineState::Up) {
-        node.tell_peers(&Frame::Machine { name: m.name.clone(), address: m.address.clone() });
+    let mut told = node.addresses_told.borrow_mut();
+    let mut names: Vec<(&String, &u32)> = s
+        .by_name
+        .iter()
+        .filter(|(n, &ix)| **n > *told && s.machines[ix as usize].state == MachineState::Up)
+        .collect();
+    names.sort_unstable();
+    let most = ADDRESS_FRAMES * peers::MOST_MACHINES;
+    *told = match names.get(most) {
+        Some(_) => names[most - 1].0.clone(),
+        None => String::new(),
+    };
+    names.truncate(most);
+    for some in names.chunks(peers::MOST_MACHINES) {
+        let list = some.iter().filter_map(|(name, &ix)| {
+            let addr = s.machines[ix as usize].address.parse().ok()?;
+            Some(((*name).clone(), addr))
+        });
+        node.tell_peers(&Frame::Machines(list.collect()));
     }
 }
 
@@ -603,7 +661,7 @@
     }
     for (name, (address, heard)) in node.addresses.borrow().iter() {
         if heard.elapsed() < ADDRESS_FRESH {
-            s.hint_address(now, name, address);
+            s.hint_address(now, name, &address.to_string());
         }
     }
     let placed: usize = s.machines.iter().map(|m| m.tasks.len()).sum();
@@ -843,6 +901,8 @@
             leading: false,
             served,
             redirected: 0,
+            life: 1,
+            count: 1 + u64::from(served),
         };
         assert!(!node.ready(), "never loaded");
         node.ready_once.set(true);
@@ -874,6 +934,42 @@
         }
     }
 
+    #[tokio::test(start_paused = true)]
+    async fn a_status_of_a_former_life_says_nothing_of_now() {
+        let node = StandIn::default().node();
+        let status = |life, count, served| Frame::Status {
+            name: "kernel-1".into(),
+            term: 0,
+            leading: false,
+            served,
+            redirected: 0,
+            life,
+            count,
+        };
+        node.peer_frame(status(7, 2, false));
+        node.peer_frame(status(6, 90, true));
+        node.peer_frame(status(7, 1, true));
+        assert!(!node.a_peer_is_served());
+        node.peer_frame(status(7, 3, true));
+        assert!(node.a_peer_is_served());
+        // Its clock wandered back over a quick restart: it is heard again after a while.
+        node.peer_frame(status(5, 1, false));
+        assert!(node.a_peer_is_served());
+        tokio::time::advance(PEER_FRESH).await;
+        node.peer_frame(status(5, 2, true));
+        assert!(node.a_peer_is_served());
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn a_worker_is_let_go_before_users_lack_sockets() {
+        let node = StandIn::default().node();
+        let hello = || Request { method: "POST".into(), path: "/hello".into(), body: vec![] };
+        node.open.set(Sockets::share(node.settings.fd_limit).workers_kept);
+        assert!(!handle(node.clone(), hello()).await.close);
+        node.open.set(node.open.get() + 1);
+        assert!(handle(node.clone(), hello()).await.close);
+    }
+
     #[tokio::test(start_paused = true)]
     async fn a_newer_term_ends_the_lead_and_an_older_one_does_not() {
         let node = StandIn::default().node();
@@ -885,6 +981,8 @@
             leading: true,
             served: true,
             redirected: 0,
+            life: 1,
+            count: term,
         };
         node.peer_frame(status(4));
         assert_eq!(node.leadership.borrow().term(), Some(5));
--- a/crates/walnutlug/src/peers.rs
+++ b/crates/walnutlug/src/peers.rs
@@ -3,10 +3,11 @@
 //! and never a rule, so a frame that can't be read simply closes its connection.
 
 use std::cell::Cell;
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
@@ -18,8 +19,9 @@
 use crate::node::Node;
 
 const MAGIC: u32 = 0x4755_4c57;
-const VERSION: u16 = 1;
+const VERSION: u16 = 2;
 const MOST: usize = 4096;
+const MOST_WRITE: usize = 32 * 1024;
 /// Connections from peers at once, with room for stale ones.
 const MOST_OPEN: u32 = 64;
 
@@ -36,7 +38,7 @@
 const KIND_PROGRESS: u16 = 2;
 const KIND_ENDED: u16 = 3;
 const KIND_NEW_JOB: u16 = 4;
-const KIND_MACHINE: u16 = 5;
+const KIND_MACHINES: u16 = 6;
 
 #[derive(FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned, Clone, Copy)]
 #[repr(C)]
@@ -47,6 +49,9 @@
     served: u8,
     /// Worker reports answered with a redirect in the last seconds.
     redirected: U16,
+    /// Which life of the node speaks, and the how manieth time.
+    life: U64,
+    count: U64,
 }
 
 #[derive(FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned, Clone, Copy)]
@@ -58,13 +63,19 @@
     end: u8,
 }
 
+/// One machine of many in a frame.
 #[derive(FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned, Clone, Copy)]
 #[repr(C)]
 struct MachineBody {
-    name: [u8; 64],
-    address: [u8; 24],
+    name: [u8; 26],
+    ip: U32,
+    port: U16,
 }
 
+/// Machines in one frame. One frame each, the hints of a large fleet overran the queue, and a
+/// take-over asked only a part of it.
+pub const MOST_MACHINES: usize = 120;
+
 /// One message between nodes.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Frame {
@@ -75,6 +86,8 @@
         leading: bool,
         served: bool,
         redirected: u16,
+        life: u64,
+        count: u64,
     },
     Progress {
         job: String,
@@ -88,11 +101,8 @@
     NewJob {
         job: String,
     },
-    /// Where a machine that reports to the leader can be reached.
-    Machine {
-        name: String,
-        address: String,
-    },
+    /// Where machines that report to the leader can be reached.
+    Machines(Vec<(String, SocketAddrV4)>),
 }
 
 fn name_field<const N: usize>(name: &str) -> [u8; N] {
@@ -116,13 +126,15 @@
             end,
         };
         let (kind, body) = match self {
-            Frame::Status { name, term, leading, served, redirected } => {
+            Frame::Status { name, term, leading, served, redirected, life, count } => {
                 let body = StatusBody {
                     term: (*term).into(),
                     name: name_field(name),
                     leading: u8::from(*leading),
                     served: u8::from(*served),
                     redirected: (*redirected).into(),
+                    life: (*life).into(),
+                    count: (*count).into(),
                 };
                 (KIND_STATUS, body.as_bytes().to_vec())
             }
@@ -133,9 +145,18 @@
                 let code = if *end == End::Done { 1 } else { 2 };
                 (KIND_ENDED, job_body(job, 0, 0, code).as_bytes().to_vec())
             }
-            Frame::Machine { name, address } => {
-                let body = MachineBody { name: name_field(name), address: name_field(address) };
-                (KIND_MACHINE, body.as_bytes().to_vec())
+            Frame::Machines(list) => {
+                let mut body = Vec::with_capacity(list.len() * size_of::<MachineBody>());
+                // A longer name than any cloud gave so far has no place here and is asked later.
+                for (name, addr) in list.iter().take(MOST_MACHINES).filter(|m| m.0.len() <= 26) {
+                    let entry = MachineBody {
+                        name: name_field(name),
+                        ip: u32::from(*addr.ip()).into(),
+                        port: addr.port().into(),
+                    };
+                    body.extend_from_slice(entry.as_bytes());
+                }
+                (KIND_MACHINES, body)
             }
             Frame::NewJob { job } => (KIND_NEW_JOB, job_body(job, 0, 0, 0).as_bytes().to_vec()),
         };
@@ -161,15 +182,22 @@
                     leading: b.leading != 0,
                     served: b.served != 0,
                     redirected: b.redirected.get(),
+                    life: b.life.get(),
+                    count: b.count.get(),
                 }))
             }
-            KIND_MACHINE => {
-                let (b, _) = MachineBody::read_from_prefix(body).map_err(|_| "short machine")?;
-                let address = name_of(&b.address).ok_or("bad address")?;
-                if address.parse::<std::net::SocketAddrV4>().is_err() {
-                    return Err("bad address");
+            KIND_MACHINES => {
+                let size = size_of::<MachineBody>();
+                if !body.len().is_multiple_of(size) || body.len() > MOST_MACHINES * size {
+                    return Err("odd list of machines");
                 }
-                Ok(Some(Frame::Machine { name: name_of(&b.name).ok_or("bad name")?, address }))
+                let mut list = Vec::with_capacity(body.len() / size);
+                for entry in body.chunks_exact(size) {
+                    let b = MachineBody::read_from_bytes(entry).map_err(|_| "short machine")?;
+                    let addr = SocketAddrV4::new(b.ip.get().into(), b.port.get());
+                    list.push((name_of(&b.name).ok_or("bad name")?, addr));
+                }
+                Ok(Some(Frame::Machines(list)))
             }
             KIND_PROGRESS | KIND_ENDED | KIND_NEW_JOB => {
                 let (b, _) = JobBody::read_from_prefix(body).map_err(|_| "short job frame")?;
@@ -222,7 +250,7 @@
 pub async fn listen(node: Rc<Node>, listener: TcpListener) {
     let open = Rc::new(Cell::new(0));
     loop {
-        let Ok((mut stream, _)) = listener.accept().await else {
+        let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(Duration::from_millis(100)).await;
             continue;
         };
@@ -234,6 +262,8 @@
         let node = node.clone();
         tokio::task::spawn_local(async move {
             let _closed = Closed(open);
+            // Frames come in bunches; each system call is paid for.
+            let mut stream = BufReader::with_capacity(MOST, stream);
             loop {
                 match timeout(Duration::from_secs(30), read_frame(&mut stream)).await {
                     Ok(Ok(Some(frame))) => node.peer_frame(frame),
@@ -254,7 +284,13 @@
 pub async fn talk(addr: std::net::SocketAddrV4, mut queue: mpsc::Receiver<Rc<Vec<u8>>>) {
     let mut stream: Option<TcpStream> = None;
     let patience = Duration::from_secs(1);
-    while let Some(message) = queue.recv().await {
+    while let Some(first) = queue.recv().await {
+        // What has queued up goes out in one piece.
+        let mut message = first.to_vec();
+        while message.len() < MOST_WRITE {
+            let Ok(more) = queue.try_recv() else { break };
+            message.extend_from_slice(&more);
+        }
         if stream.is_none() {
             if let Ok(Ok(s)) = timeout(patience, TcpStream::connect(addr)).await {
                 let _ = s.set_nodelay(true);
@@ -281,11 +317,20 @@
                 leading: true,
                 served: false,
                 redirected: 7,
+                life: 1 << 50,
+                count: 9,
             },
             Frame::Progress { job: "req-000001".into(), done: 3, running: 70_000 },
             Frame::Ended { job: "req-000002".into(), end: End::Aborted },
             Frame::NewJob { job: "req-000003".into() },
-            Frame::Machine { name: "n-000231".into(), address: "10.1.0.232:9000".into() },
+            Frame::Machines(
+                (0..3)
+                    .map(|i| {
+                        let addr = SocketAddrV4::new([10, 1, 0, i].into(), 9000);
+                        (format!("n-00023{i}"), addr)
+                    })
+                    .collect(),
+            ),
         ]
     }
 
@@ -298,6 +343,16 @@
         }
     }
 
+    #[test]
+    fn the_hints_of_a_large_fleet_take_few_frames() {
+        let name = |i: usize| (format!("n-{i:06}"), SocketAddrV4::new([10, 0, 0, 1].into(), 9000));
+        let all: Vec<_> = (0..800).map(name).collect();
+        let frames: Vec<Vec<u8>> =
+            all.chunks(MOST_MACHINES).map(|c| Frame::Machines(c.to_vec()).encode()).collect();
+        assert!(frames.len() <= 7, "{} frames", frames.len());
+        assert!(frames.iter().all(|f| f.len() <= MOST));
+    }
+
     #[tokio::test(start_paused = true)]
     async fn bad_frames_are_refused() {
         for frame in frames() {
@@ -315,7 +370,7 @@
             long[8..12].copy_from_slice(&u32::MAX.to_le_bytes());
             assert_eq!(read_frame(&mut long.as_slice()).await, Err("frame too long"));
             let mut short = good.clone();
-            short[8..12].copy_from_slice(&4u32.to_le_bytes());
+            short[8..12].copy_from_slice(&5u32.to_le_bytes());
             assert!(read_frame(&mut short.as_slice()).await.is_err());
             let mut later = good.clone();
             later[6] = 99;
--- a/crates/walnutlug/src/settings.rs
+++ b/crates/walnutlug/src/settings.rs
@@ -30,6 +30,34 @@
     pub fd_limit: u32,
 }
 
+/// How a node's sockets are shared out, so that users always find one. Workers keep connections
+/// open, one each, and a leader opens one to each of hundreds of machines: without shares they could
+/// take them all.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Sockets {
+    /// Most connections from users and workers.
+    pub inbound: u32,
+    /// Beyond this many, a worker's connection is closed after its answer: the rest is for users.
+    pub workers_kept: u32,
+    /// Most connections to others, idle ones included.
+    pub outbound: u32,
+    /// Most messages under way to workers at once.
+    pub messages: u32,
+}
+
+impl Sockets {
+    /// What is left over is for the other nodes, the listeners and connections that are closing.
+    pub fn share(limit: u32) -> Sockets {
+        let part = |percent: u32| (u64::from(limit) * u64::from(percent) / 100) as u32;
+        Sockets {
+            inbound: part(68),
+            workers_kept: part(52),
+            outbound: part(22),
+            messages: part(15).max(4),
+        }
+    }
+}
+
 /// Walks the file's fields and collects what is wrong with them.
 struct Reader<'a> {
     root: &'a Value,
@@ -226,6 +254,7 @@
                 value_bytes: (value_kb * 1024.0) as usize,
                 txn_ops: txn_ops as usize,
                 list_lag: Span::from_secs(list_lag_s),
+                most_messages: Sockets::share(fd_limit as u32).messages as usize,
             },
             state_rps,
             state_write_rps,
@@ -267,6 +296,18 @@
         assert_eq!(s.site.value_bytes, 8192);
     }
 
+    #[test]
+    fn the_shares_of_the_sockets_leave_room_for_users_at_any_size() {
+        for limit in [32, 256, 1_200, 2_000, 65_536] {
+            let s = Sockets::share(limit);
+            assert!(s.inbound + s.outbound < limit, "{s:?}");
+            assert!(s.workers_kept < s.inbound && s.messages < s.outbound, "{s:?}");
+        }
+        // The grown fleets' workers keep their connections.
+        assert!(Sockets::share(1_200).workers_kept > 440 + 100);
+        assert!(Sockets::share(2_000).workers_kept > 795 + 100);
+    }
+
     #[test]
     fn every_fault_is_named() {
         let mut bad = sample();
