Trust a machine only when it answers; age lifts what waits; a leader without its lease only answers

A machine whose reports arrive and that hears nothing takes no new starts until it shows a token raised since, is given back after a bounded patience, and late copies of reports open and renew nothing. A token of a newer term makes the leader look at the key instead of giving up. Without a confirmed lease nothing is started, rented or returned. A job of which nothing ran for two minutes gets its first task before all others; from three minutes on, age goes first in a part of the fleet.

--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -51,6 +51,8 @@
     },
     /// Worth a line in the log.
     Note(String),
+    /// A worker claims a newer term: worth a look at the leader key, and no more.
+    CheckLead,
     /// The term is over.
     StepDown(&'static str),
 }
@@ -103,8 +105,19 @@
     pub state: MachineState,
     pub session: u64,
     pub seq: u64,
-    /// Highest token that the worker has been seen to know.
+    /// The token that the worker knew by its newest report.
     pub seen_token: u64,
+    /// The token that it has to show before anything more is started there: raised when a message
+    /// to it was lost, or when its lease ran out though its reports arrive.
+    pub must_see: u64,
+    /// Since when it has owed that. A machine that is heard and doesn't hear looks alive by its
+    /// reports; this is what gives it away.
+    pub deaf_since: Option<Time>,
+    /// Messages to it that were lost in a row.
+    pub losses: u32,
+    /// Rented by this leader or listed by the cloud, so that it can be counted on to come. What a
+    /// late report alone tells of may be long gone.
+    pub expected: bool,
     pub fence: u64,
     /// Highest token with which a start was sent; a reap needs a higher one.
     pub start_token: u64,
@@ -141,6 +154,13 @@
     pub fn token(&self, term: u64) -> u64 {
         token(term, self.fence)
     }
+
+    /// Nothing more is started there until it shows that it heard of this.
+    pub(crate) fn doubt(&mut self, now: Time, term: u64) {
+        self.fence += 1;
+        self.must_see = token(term, self.fence);
+        self.deaf_since.get_or_insert(now);
+    }
 }
 
 #[derive(Debug, Clone, Default)]
@@ -182,6 +202,8 @@
     pub not_before: Time,
     /// When each running task was first seen with its image.
     pub started: HashMap<u32, Time>,
+    /// Whether any of its tasks was ever seen to run.
+    pub begun: bool,
     pub run_times: (f64, u32),
 }
 
@@ -216,6 +238,13 @@
     writes: Option<(f64, f64)>,
     pub(crate) tally: crate::dispatch::Tally,
     pub dirty: bool,
+    /// Whether the lease is certainly held. Without it another node may lead: this one goes on
+    /// answering its workers, so that their tasks live, and starts, rents and returns nothing.
+    /// (A leader cut off from the state service once gave back machines that had merely gone over
+    /// to its successor.)
+    pub in_office: bool,
+    /// What was logged of odd reports, each once.
+    pub(crate) odd: BTreeSet<(String, &'static str)>,
     pub(crate) last_preempt: Time,
     /// Machines to be looked at for something to send, each once.
     pub(crate) attention: Vec<MachineIx>,
@@ -247,6 +276,8 @@
 pub const OVERDUE: f64 = 1.4;
 /// How long a machine that is gone is remembered, against late reports of it.
 const FORGET_AFTER: Span = Span::secs(600);
+/// Odd things to remember as logged.
+const MOST_ODD: usize = 2_000;
 /// Classes to learn about; more than any deployment has, fewer than would hurt.
 const MOST_CLASSES: usize = 1_000;
 
@@ -277,6 +308,8 @@
             writes: None,
             tally: crate::dispatch::Tally::default(),
             dirty: true,
+            in_office: true,
+            odd: BTreeSet::new(),
             last_preempt: Time(0),
             attention: Vec::new(),
             last_sweep: Time(0),
@@ -314,6 +347,13 @@
         self.out.push(Command::Note(text));
     }
 
+    /// Logs something odd about a worker's report, once for each machine and kind.
+    pub(crate) fn note_once(&mut self, machine: &str, what: &'static str) {
+        if self.odd.len() < MOST_ODD && self.odd.insert((machine.to_owned(), what)) {
+            self.note(format!("{machine}: {what}"));
+        }
+    }
+
     pub fn job(&self, ix: JobIx) -> Option<&Job> {
         self.jobs.get(&ix)
     }
@@ -367,6 +407,7 @@
             error_machines: BTreeSet::new(),
             not_before: Time(0),
             started: HashMap::new(),
+            begun: false,
             run_times: (0.0, 0),
             spec,
         };
@@ -400,6 +441,7 @@
                 task.phase = Phase::Done;
                 job.recorded[index as usize] = true;
                 job.done += 1;
+                job.begun = true;
             } else if phase.placed() {
                 // Whatever it was, all that is certain now is that it may be there.
                 task.phase = Phase::Dispatching;
@@ -433,6 +475,10 @@
             session: 0,
             seq: 0,
             seen_token: 0,
+            must_see: 0,
+            deaf_since: None,
+            losses: 0,
+            expected: false,
             fence: 0,
             start_token: 0,
             said_up: false,
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -78,7 +78,8 @@
             self.last_sweep = now;
             self.settle(now);
         }
-        if now >= self.stalled_until
+        if self.in_office
+            && now >= self.stalled_until
             && now.since(self.last_round) >= self.tun.round_every
             && self.txns.len() < self.tun.txns_in_flight as usize
             && self.writes_left(0.0) >= 1
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -125,6 +125,9 @@
         }
         self.fleet.last_look = now;
         self.account(now);
+        if !self.in_office {
+            return;
+        }
         self.judge_machines(now);
         // A new leader first hears what machines there are.
         if self.fleet.listed || now.since(self.started_at) > Span::secs(10) {
@@ -141,7 +144,10 @@
         let mut up = self.machines.iter().filter(|m| m.state == MachineState::Up).peekable();
         now.since(self.started_at) > silence
             && up.peek().is_some()
-            && up.all(|m| now.since(m.last_report) > silence)
+            && up.all(|m| {
+                let deaf = m.deaf_since.is_some_and(|t| now.since(t) > silence);
+                deaf || now.since(m.last_report) > silence
+            })
     }
 
     /// Tells once a minute what the fleet's money went to.
@@ -200,6 +206,12 @@
     /// Marks machines that have to go: silent, overdue, slow, faulty.
     fn judge_machines(&mut self, now: Time) {
         let patience = self.tun.patience;
+        // One that is heard and doesn't hear has twice the patience: it may be the answer alone
+        // that was late.
+        let lost_for = |m: &crate::book::Machine| {
+            let deaf = m.deaf_since.map_or(Span::ZERO, |t| Span(now.since(t).0 / 2));
+            now.since(m.last_report).max(deaf)
+        };
         let holding = self
             .machines
             .iter()
@@ -210,7 +222,7 @@
                 let m = &self.machines[i];
                 let waits = m.state == MachineState::Up
                     || (m.state == MachineState::Booting && !m.tasks.is_empty());
-                waits && m.draining.is_none() && now.since(m.last_report) > patience
+                waits && m.draining.is_none() && lost_for(m) > patience
             })
             .collect();
         // When most of the fleet is silent at once, the trouble is more likely between here and
@@ -218,11 +230,17 @@
         let many = silent.len() > 3 && silent.len() * 2 > holding;
         for i in silent {
             let m = &mut self.machines[i];
-            if many && now.since(m.last_report) < patience + patience + patience {
+            if many && lost_for(m) < patience + patience + patience {
                 continue;
             }
-            m.draining = Some("silent");
-            let text = format!("{} has been silent too long: given back", m.name);
+            let silent = now.since(m.last_report) > patience;
+            m.draining = Some(if silent { "silent" } else { "deaf" });
+            let what = if silent {
+                "has been silent too long"
+            } else {
+                "reports, but nothing sent to it arrives"
+            };
+            let text = format!("{} {what}: given back", m.name);
             self.note(text);
         }
         for i in 0..self.machines.len() {
@@ -288,7 +306,7 @@
         let mut free = 0.0;
         for m in &self.machines {
             let Some(kind) = m.kind else { continue };
-            let coming = m.state == MachineState::Booting && m.draining.is_none();
+            let coming = m.state == MachineState::Booting && m.expected && m.draining.is_none();
             if !coming && !self.open_for_work(now, m) {
                 continue;
             }
@@ -541,7 +559,8 @@
                 && m.return_sent.is_some_and(|t| now.since(t) > RETURN_RETRY);
             // A drained machine is returned when empty; a silent one is returned because it holds
             // tasks that nothing else can prove off it. One that never came up is just returned.
-            let hopeless = matches!(m.draining, Some("silent" | "never came up" | "failed"));
+            let hopeless =
+                matches!(m.draining, Some("silent" | "deaf" | "never came up" | "failed"));
             let due = m.state != MachineState::Gone
                 && m.state != MachineState::Returning
                 && (hopeless || (m.draining.is_some() && m.tasks.is_empty() && m.foreign == 0));
@@ -605,6 +624,7 @@
         for name in got {
             let m = self.machine_named(now, &name);
             let machine = &mut self.machines[m as usize];
+            machine.expected = true;
             if machine.state == MachineState::Booting {
                 machine.kind = Some(k);
                 machine.spot = spot;
@@ -629,6 +649,7 @@
             if machine.state == MachineState::Gone {
                 continue;
             }
+            machine.expected = true;
             if machine.kind.is_none() {
                 machine.kind = kind;
             }
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -22,6 +22,8 @@
 /// Where a job stands in the queue. Smaller comes first.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Urgency {
+    /// Has waited so long that age outweighs all else.
+    pub lift: Lift,
     pub rank: Rank,
     /// Within its team's guarantee.
     pub owed: bool,
@@ -34,11 +36,23 @@
     pub accepted: Time,
 }
 
+/// What age lifts a job to. Under lasting overload the order by priority and slack would starve a
+/// class, a team or the largest jobs, and an accepted job has to run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Lift {
+    None,
+    /// Unfinished for long: first within a part of the fleet.
+    Old,
+    /// Nothing of it has run yet: its first task goes before everything.
+    Unbegun,
+}
+
 impl Urgency {
     pub fn order(&self, other: &Urgency) -> Ordering {
         other
-            .rank
-            .cmp(&self.rank)
+            .lift
+            .cmp(&self.lift)
+            .then(other.rank.cmp(&self.rank))
             .then(other.owed.cmp(&self.owed))
             .then(self.hopeless.cmp(&other.hopeless))
             .then(self.slack.total_cmp(&other.slack))
@@ -103,7 +117,42 @@
                 && within(cpus, spec.cpus, team.cpus)
                 && within(gpus, spec.gpus, team.gpus)
         });
-        Urgency { rank: spec.rank, owed, hopeless, slack, finish_slack, accepted: job.accepted }
+        Urgency {
+            lift: self.lift(now, job),
+            rank: spec.rank,
+            owed,
+            hopeless,
+            slack,
+            finish_slack,
+            accepted: job.accepted,
+        }
+    }
+
+    fn lift(&self, now: Time, job: &Job) -> Lift {
+        let age = now.since(job.accepted);
+        if !job.begun && job.placed == 0 && age > self.tun.begin_within {
+            Lift::Unbegun
+        } else if age > self.tun.lift_after {
+            Lift::Old
+        } else {
+            Lift::None
+        }
+    }
+
+    /// Processors of open machines that old jobs may still be given ahead of others.
+    fn room_for_old(&self, now: Time) -> f64 {
+        let all: f64 = self
+            .machines
+            .iter()
+            .filter(|m| m.state == MachineState::Up)
+            .filter_map(|m| Some(self.types.get(m.kind?)?.cpus))
+            .sum();
+        let old = self.jobs.values().filter(|j| j.placed > 0 && !j.over);
+        let used: f64 = old
+            .filter(|j| now.since(j.accepted) > self.tun.lift_after)
+            .map(|j| f64::from(j.placed) * j.spec.cpus)
+            .sum();
+        all * self.tun.lift_share - used
     }
 
     /// Jobs with tasks to place, the most urgent first.
@@ -126,7 +175,7 @@
         // last leader left on it. One that has been silent for a while is not trusted either.
         m.state == MachineState::Up
             && m.kind.is_some()
-            && m.seen_token >= token(self.term, 0)
+            && m.seen_token >= token(self.term, 0).max(m.must_see)
             && m.notice.is_none()
             && m.draining.is_none()
             && m.foreign == 0
@@ -239,9 +288,29 @@
             })
             .collect();
         let mut blocked: Vec<(Urgency, JobIx)> = Vec::new();
+        // What age lifts goes first, within its part; beyond that it takes its turn.
+        let lifted: Vec<(Urgency, JobIx)> =
+            queue.iter().filter(|q| q.0.lift > Lift::None).copied().collect();
+        let mut room = if lifted.is_empty() { 0.0 } else { self.room_for_old(now) };
+        for (urgency, ix) in lifted {
+            let Some(job) = self.job(ix) else { continue };
+            let cpus = job.spec.cpus.max(0.1);
+            let most = match urgency.lift {
+                Lift::Unbegun => 1,
+                _ => (room / cpus).max(0.0) as u32,
+            };
+            let before = job.placed;
+            self.place_job(now, ix, &open, most);
+            room -= self.job(ix).map_or(0.0, |j| f64::from(j.placed - before) * cpus);
+        }
+        let mut queue = queue;
+        for entry in &mut queue {
+            entry.0.lift = Lift::None;
+        }
+        queue.sort_by(|a, b| a.0.order(&b.0).then(a.1.cmp(&b.1)));
         for (urgency, ix) in queue {
             self.looked_at += open.len() as u64;
-            if self.place_job(now, ix, &open) {
+            if self.place_job(now, ix, &open, u32::MAX) {
                 blocked.push((urgency, ix));
             }
             open.retain(|&ix| roomy(self, &self.machines[ix as usize]));
@@ -250,8 +319,11 @@
     }
 
     /// Places what it can of one job; whether tasks are left that found no machine.
-    fn place_job(&mut self, now: Time, ix: JobIx, open: &[MachineIx]) -> bool {
+    fn place_job(&mut self, now: Time, ix: JobIx, open: &[MachineIx], most: u32) -> bool {
         let Some(job) = self.job(ix) else { return false };
+        if most == 0 || job.pending() == 0 {
+            return false;
+        }
         let zone =
             (job.spec.one_zone && job.zones.is_empty()).then(|| self.zone_for(job, open)).flatten();
         let machines = self.candidates(job, open);
@@ -259,7 +331,8 @@
         let mut index = job.scan_from;
         let total = job.spec.tasks;
         let mut stuck = false;
-        while index < total {
+        let mut placed = 0;
+        while index < total && placed < most {
             let Some(job) = self.job(ix) else { break };
             if job.tasks[index as usize].phase != Phase::Pending {
                 index += 1;
@@ -281,6 +354,7 @@
                 continue;
             }
             self.dispatch(now, (ix, index), m);
+            placed += 1;
             index += 1;
         }
         if let Some(job) = self.jobs.get_mut(&ix) {
@@ -334,6 +408,7 @@
         }
         victims.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         let mut stopped = vec![false; victims.len()];
+        let old = (self.room_for_old(now) >= 0.0).then(|| now - self.tun.lift_after);
         for (urgency, ix) in blocked {
             let Some(job) = self.job(ix) else { continue };
             let mut need = f64::from(job.pending()) * job.spec.cpus.max(0.1);
@@ -346,7 +421,7 @@
                     break;
                 }
                 let (Some(job), Some(other)) = (self.job(ix), self.job(id.0)) else { continue };
-                if stopped[at] || !self.may_stop(urgency, job, other) {
+                if stopped[at] || !self.may_stop(urgency, job, other, old) {
                     continue;
                 }
                 // Only where the job could run at all were the machine empty of victims.
@@ -378,8 +453,12 @@
         left >= (run - ran).max(0.0) && left < run + RESTART
     }
 
-    /// The protocol's reasons for stopping one job's task for another's.
-    fn may_stop(&self, urgency: Urgency, job: &Job, other: &Job) -> bool {
+    /// The protocol's reasons for stopping one job's task for another's. What age has lifted is
+    /// left alone while it keeps to its part of the fleet, or it would never get done.
+    fn may_stop(&self, urgency: Urgency, job: &Job, other: &Job, old: Option<Time>) -> bool {
+        if old.is_some_and(|before| other.accepted < before) {
+            return false;
+        }
         if other.spec.rank < job.spec.rank {
             return true;
         }
--- a/crates/core/src/receipts.rs
+++ b/crates/core/src/receipts.rs
@@ -8,6 +8,11 @@
 use crate::time::{Span, Time};
 use crate::wire::{self, Call, Cause, Report, TaskStage};
 
+/// Ever longer, up to sixteen times the first, while messages to a machine go on being lost.
+fn pause(first: Span, losses: u32) -> Span {
+    Span(first.0 << losses.saturating_sub(1).min(4))
+}
+
 #[derive(Debug, PartialEq, Eq, Clone, Copy)]
 enum Place {
     Ours(TaskId),
@@ -42,12 +47,13 @@
             // once instead of with its next report.
             // (The first answer of a worker whose session wasn't known shows the session only; the
             // second shows that it has seen the term.)
-            let unseen = m.seen_token < token(term, 0)
+            let unseen = m.seen_token < token(term, 0).max(m.must_see)
                 || (m.seen_token < m.token(term) && !m.tasks.is_empty());
             // One that missed a report is asked: if it answers it is not silent, and if it doesn't
             // it can be given up sooner.
             let missed = m.state == MachineState::Up && now.since(m.last_report) > overdue;
-            let (ids, starts) = self.last_look(now, ix as MachineIx, can_send);
+            let may_start = can_send && self.in_office;
+            let (ids, starts) = self.last_look(now, ix as MachineIx, may_start);
             let m = &mut self.machines[ix];
             // Mere questions are paced: at a take-over the whole fleet is asked.
             let ask_later =
@@ -81,18 +87,22 @@
             self.under_way = self.under_way.saturating_sub(1);
         }
         let starts = std::mem::take(&mut machine.in_message);
+        let term = self.term;
         self.attend(m);
         let machine = &mut self.machines[m as usize];
         match outcome {
             DirectOutcome::Answered(report) => {
                 if report.machine == machine.name {
-                    self.evidence(now, &report);
+                    machine.losses = 0;
+                    self.evidence(now, &report, true);
                 } else {
                     machine.retry_at = now + Span::secs(1);
                 }
             }
             DirectOutcome::NotSent => {
-                machine.retry_at = now + Span::millis(1_000);
+                machine.losses += 1;
+                machine.retry_at = now + pause(Span::secs(1), machine.losses);
+                machine.doubt(now, term);
                 // There was no connection, so nothing left this process and nothing ever will:
                 // these starts are absent by this book's own doing.
                 // Only the attempt that the message held, though: the machine may have been returned
@@ -111,8 +121,9 @@
             DirectOutcome::Lost => {
                 // The message may be executed minutes later. Raising the fence makes sure that a
                 // report that has seen the new number proves that the old message never will be.
-                machine.fence += 1;
-                machine.retry_at = now + Span::millis(1_500);
+                machine.losses += 1;
+                machine.retry_at = now + pause(Span::millis(1_500), machine.losses);
+                machine.doubt(now, term);
             }
         }
     }
@@ -120,12 +131,27 @@
     /// A worker's report. `None`: this node is not entitled to answer it.
     pub fn report(&mut self, now: Time, report: &Report) -> Option<(u64, Vec<Call>)> {
         if crate::leadership::term_of(report.token) > self.term {
-            self.out.push(Command::StepDown("a worker has seen a newer term"));
+            // Most likely true: then the leader key tells. A token that came from nowhere must not
+            // end a term.
+            self.note_once(&report.machine, "shows a token of a newer term than this one");
+            self.out.push(Command::CheckLead);
             return None;
         }
-        let m = self.evidence(now, report);
+        let known = self.by_name.get(&report.machine).map(|&m| &self.machines[m as usize]);
+        let newest = known.map_or((0, 0), |k| (k.session, k.seq));
+        let m = self.evidence(now, report, false);
         let machine = &self.machines[m as usize];
-        if matches!(machine.state, MachineState::Gone) {
+        if machine.state == MachineState::Gone {
+            let token = machine.token(self.term);
+            self.note_once(&report.machine, "reports, though it was given back");
+            return Some((token, Vec::new()));
+        }
+        if (report.session, report.seq) <= newest {
+            // A copy of the past: what the worker has to do about its tasks a newer one told.
+            if report.session < newest.0 {
+                self.note_once(&report.machine, "a report of an earlier session came late");
+            }
+            let machine = &self.machines[m as usize];
             return Some((machine.token(self.term), Vec::new()));
         }
         let calls = self.calls_for(m, report);
@@ -205,8 +231,10 @@
         }
     }
 
-    /// Merges a report into the book. Older reports add evidence and take none away.
-    pub(crate) fn evidence(&mut self, now: Time, report: &Report) -> MachineIx {
+    /// Merges a report into the book. Older reports add evidence and take none away. An answer to a
+    /// direct command comes from the machine as it is now; a report that came by itself may be a
+    /// copy from long ago.
+    pub(crate) fn evidence(&mut self, now: Time, report: &Report, direct: bool) -> MachineIx {
         let m = self.machine_named(now, &report.machine);
         let newer = {
             let known = &self.machines[m as usize];
@@ -228,7 +256,10 @@
         if !newer {
             return m;
         }
-        self.adopt(now, m, report);
+        if crate::leadership::term_of(report.token) > self.term {
+            return m; // Another leader's to judge.
+        }
+        self.adopt(now, m, report, direct);
         self.attend(m);
         let mut seen: HashMap<(&str, u32), &wire::TaskReport> = HashMap::new();
         let mut foreign = 0;
@@ -262,6 +293,7 @@
                         let image = job.spec.image.clone();
                         if let Some(job) = self.jobs.get_mut(&id.0) {
                             job.started.entry(id.1).or_insert(now);
+                            job.begun = true;
                         }
                         self.has_image(m, image);
                     }
@@ -299,42 +331,67 @@
         m
     }
 
-    fn adopt(&mut self, now: Time, m: MachineIx, report: &Report) {
+    /// Takes over what a newer report says of its machine.
+    fn adopt(&mut self, now: Time, m: MachineIx, report: &Report, direct: bool) {
         let kind = self.types.iter().position(|t| t.name == report.kind);
         let term = self.term;
         let machine = &mut self.machines[m as usize];
+        // Only a worker that has heard of this term, or answers right now, shows that its machine
+        // lives. Anything else may be a copy, minutes old, that reached a leader which never saw
+        // the newer ones: the machine is asked, and nothing else comes of it.
+        let live = direct || report.token >= token(term, 0);
         if report.session > machine.session {
             // A new session begins without tasks, and without messages meant for the old one.
             machine.outbox.clear();
+            if machine.session > 0 && !direct {
+                // Its lease ran out though its reports arrive: answers may not reach it.
+                machine.doubt(now, term);
+            }
         }
         let first = machine.seen_token < token(term, 0);
         machine.session = report.session;
         machine.seq = report.seq;
-        machine.seen_token = machine.seen_token.max(report.token);
-        machine.address.clone_from(&report.address);
+        machine.seen_token = report.token;
+        if live || machine.address.is_empty() {
+            machine.address.clone_from(&report.address);
+        }
+        if machine.seen_token >= machine.must_see {
+            machine.deaf_since = None;
+            if machine.losses <= 1 {
+                machine.retry_at = machine.retry_at.min(now);
+            }
+        }
         machine.kind = kind;
         machine.spot = report.spot;
-        machine.last_report = now;
-        if machine.state == MachineState::Booting {
-            machine.state = MachineState::Up;
-            machine.idle_since = now;
-            self.dirty = true;
-        }
+        machine.said_up = true;
         if machine.zone != report.zone {
             // Tasks loaded before the machine was known were counted under no zone.
             let old = std::mem::replace(&mut machine.zone, report.zone.clone());
             let tasks: Vec<TaskId> = machine.tasks.iter().copied().collect();
             self.rezone(&tasks, &old, &report.zone);
         }
+        if !live {
+            return;
+        }
+        let machine = &mut self.machines[m as usize];
+        machine.last_report = now;
+        machine.expected = true;
+        if machine.state == MachineState::Booting {
+            machine.state = MachineState::Up;
+            machine.idle_since = now;
+            self.dirty = true;
+        }
         let machine = &mut self.machines[m as usize];
         let notice = report.notice_s.map(|s| now + Span::from_secs(s));
-        if notice.is_some() && machine.notice.is_none() {
+        let new = notice.is_some() && machine.notice.is_none();
+        machine.notice = match (notice, machine.notice) {
+            (Some(_), Some(known)) => Some(known),
+            (notice, _) => notice,
+        };
+        let name = machine.name.clone();
+        if new {
             self.dirty = true;
-            let name = machine.name.clone();
-            machine.notice = notice;
             self.note(format!("{name} will be taken by the cloud"));
-        } else {
-            machine.notice = notice.or(machine.notice);
         }
         let machine = &self.machines[m as usize];
         if first && machine.seen_token >= token(term, 0) {
--- a/crates/core/src/tunables.rs
+++ b/crates/core/src/tunables.rs
@@ -33,6 +33,12 @@
     pub headroom_cheap: f64,
     /// Idle time before a return where ordinary machines are cheap.
     pub idle_cheap: Span,
+    /// Age at which the first task of a job of which nothing has run yet goes before all others.
+    pub begin_within: Span,
+    /// Age at which an unfinished job goes before younger ones, within `lift_share`.
+    pub lift_after: Span,
+    /// The part of the fleet in which age goes before priority.
+    pub lift_share: f64,
     /// Boot times (of the type's own) after which a machine that never came up is returned.
     pub boot_patience: f64,
     /// Failed tasks of different jobs that make a machine suspect.
@@ -62,6 +68,9 @@
             headroom: 0.5,
             headroom_cheap: 5.0,
             idle_cheap: Span::secs(200),
+            begin_within: Span::secs(120),
+            lift_after: Span::secs(180),
+            lift_share: 0.15,
             boot_patience: 3.0,
             sick_after: 3,
             slow_factor: 2.0,
--- a/crates/walnutlug/src/node.rs
+++ b/crates/walnutlug/src/node.rs
@@ -77,6 +77,9 @@
     addresses: RefCell<HashMap<String, (SocketAddrV4, Instant)>>,
     /// The name up to which machines' addresses were told in this turn.
     addresses_told: RefCell<String>,
+    checking_lead: Cell<bool>,
+    /// Until when the leader's lease is certainly held.
+    lease_until: Cell<Instant>,
     /// Connections from users and workers.
     open: Rc<Cell<u32>>,
     /// Tells this life of the node from its former ones.
@@ -127,6 +130,8 @@
             told: RefCell::default(),
             addresses: RefCell::default(),
             addresses_told: RefCell::default(),
+            checking_lead: Cell::new(false),
+            lease_until: Cell::new(Instant::now()),
             open: Rc::default(),
             life: SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64),
             statuses: Cell::new(0),
@@ -521,6 +526,7 @@
         return;
     };
     let touched = Instant::now();
+    node.lease_until.set(touched + ttl);
     let value = leader_value(&node.settings.node_name, &node.incarnation);
     let txn = Txn {
         guards: vec![Guard { key: keys::LEADER.into(), mark: 0 }],
@@ -589,7 +595,10 @@
         tokio::time::sleep_until(touched + ttl.mul_f64(0.28)).await;
         let sent = Instant::now();
         match node.state.touch(lease).await {
-            Ok(()) => touched = sent,
+            Ok(()) => {
+                touched = sent;
+                node.lease_until.set(sent + ttl);
+            }
             Err(StateError::Gone) => {
                 node.give_up_lead("the lease ran out");
                 return;
@@ -780,6 +789,8 @@
             }
             let (left, most) = node.state.writes_left();
             s.allow_writes(left, most);
+            // By this node's own clock, and from before the request was sent, so never too long.
+            s.in_office = Instant::now() < node.lease_until.get();
             s.tick(now);
             s.look_at_fleet(now);
             let commands = s.take_commands();
@@ -813,6 +824,19 @@
     match command {
         Command::Note(text) => info!("{text}"),
         Command::StepDown(why) => node.give_up_lead(why),
+        Command::CheckLead => {
+            if !node.checking_lead.replace(true) {
+                tokio::task::spawn_local(async move {
+                    if let Ok(found) = node.state.get(Class::Leadership, keys::LEADER).await {
+                        if found.is_none_or(|pair| pair.mark != term) {
+                            node.give_up_lead("the leader key is not this term's any more");
+                        }
+                    }
+                    sleep(Duration::from_millis(500)).await;
+                    node.checking_lead.set(false);
+                });
+            }
+        }
         Command::Commit { id, txn } => {
             tokio::task::spawn_local(async move {
                 let outcome = node.state.commit(Class::Dispatch, &txn).await;
--- a/crates/walnutlug/src/script.rs
+++ b/crates/walnutlug/src/script.rs
@@ -106,6 +106,9 @@
     f.number("headroom", &mut t.headroom, 0.0, 10.0);
     f.number("headroom_cheap", &mut t.headroom_cheap, 0.0, 100.0);
     f.span("idle_cheap", &mut t.idle_cheap, 0.0, 86_400.0);
+    f.span("begin_within", &mut t.begin_within, 1.0, 86_400.0);
+    f.span("lift_after", &mut t.lift_after, 1.0, 86_400.0);
+    f.number("lift_share", &mut t.lift_share, 0.0, 1.0);
     f.number("boot_patience", &mut t.boot_patience, 1.0, 100.0);
     f.count("sick_after", &mut t.sick_after, 1, 1_000);
     f.number("slow_factor", &mut t.slow_factor, 1.1, 100.0);
