--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -537,6 +537,11 @@
         }
     }
 
+    /// Names of the jobs that have not ended as far as is known here.
+    pub fn open_jobs(&self) -> Vec<String> {
+        self.jobs.values().filter(|j| !j.over).map(|j| j.name.clone()).collect()
+    }
+
     /// The job has ended for its users: nothing of it is started any more.
     pub fn job_over(&mut self, now: Time, name: &str) {
         let Some(&ix) = self.by_ref.get(name) else { return };
--- a/crates/walnutlug/src/node.rs
+++ b/crates/walnutlug/src/node.rs
@@ -29,6 +29,9 @@
 /// How long a leader that gave way leaves the lead to others.
 const ASIDE: Span = Span::secs(15);
 
+/// How often a leader reads again what there is to do.
+const RECONCILE_EVERY: Duration = Duration::from_secs(20);
+
 /// How long what another node said of itself is worth something.
 const PEER_FRESH: Duration = Duration::from_secs(4);
 
@@ -236,14 +239,24 @@
         states.values().any(|p| p.redirected > 0 && p.heard.elapsed() < PEER_FRESH)
     }
 
+    /// Whether other nodes exist and none of them is heard.
+    fn alone(&self) -> bool {
+        let states = self.peer_states.borrow();
+        !self.settings.peers.is_empty()
+            && self.epoch.elapsed() > PEER_FRESH
+            && !states.values().any(|p| p.heard.elapsed() < PEER_FRESH)
+    }
+
     /// Ready once the node can decide. In an outage for all it stays ready and says 503 with a
     /// time to come again: users are served sooner so than through the balancer's growing pauses.
-    /// Alone refused while others are served, it is of no use to anybody.
+    /// Alone refused while others are served, it is of no use to anybody; nor is it cut off from
+    /// the state service and from all other nodes, which are served for all it knows.
     fn ready(&self) -> bool {
         if self.types.borrow().is_empty() || !self.ready_once.get() {
             return false;
         }
-        !(self.state.unserved_for() > Duration::from_millis(1_500) && self.a_peer_is_served())
+        let unserved = self.state.unserved_for() > Duration::from_millis(1_500);
+        !(unserved && (self.a_peer_is_served() || self.alone()))
     }
 
     fn give_up_lead(&self, why: &str) {
@@ -486,6 +499,9 @@
                     sleep(Duration::from_millis(300)).await;
                     continue;
                 }
+                if name == node.settings.node_name {
+                    end_former_lead(&node, &pair).await;
+                }
                 node.learn_keeper(&name, pair.mark);
                 let hold = Duration::from_secs(10);
                 match node.state.watch(Class::Leadership, keys::LEADER, pair.mark, hold).await {
@@ -515,6 +531,16 @@
     }
 }
 
+/// The key names this node, but not this life of it: the process ended while it led, and came back
+/// before its lease ran out. Nobody leads, so the lease is ended at once. Were the former self
+/// alive against all order, its writes would fail, and nothing worse.
+async fn end_former_lead(node: &Node, pair: &walnutlug_core::wire::Pair) {
+    if let Some(lease) = pair.value["lease"].as_u64() {
+        info!(term = pair.mark, "this node led when it ended: its lease is given up");
+        let _ = node.state.release(lease).await;
+    }
+}
+
 async fn stand(node: &Rc<Node>) {
     let ttl = Duration::from_micros(node.tunables.leader_lease.0);
     let lost = |input| {
@@ -527,7 +553,7 @@
     };
     let touched = Instant::now();
     node.lease_until.set(touched + ttl);
-    let value = leader_value(&node.settings.node_name, &node.incarnation);
+    let value = leader_value(&node.settings.node_name, &node.incarnation, lease);
     let txn = Txn {
         guards: vec![Guard { key: keys::LEADER.into(), mark: 0 }],
         apply: vec![Change::Put { put: keys::LEADER.into(), value, lease: Some(lease) }],
@@ -642,30 +668,17 @@
             warn!("stored {} belongs to no job and is passed over", pair.key);
         }
     }
-    // Which of them have ended, by comparing: the ends of all jobs ever are never listed.
-    let mut open: Vec<String> = s.by_ref.keys().cloned().collect();
-    let most = (node.site.txn_ops * 4).min(200);
-    while !open.is_empty() {
-        let batch = &open[open.len().saturating_sub(most)..];
-        let txn = Txn {
-            guards: batch.iter().map(|n| Guard { key: keys::end(n), mark: 0 }).collect(),
-            apply: Vec::new(),
-        };
-        let keep = open.len() - batch.len();
-        match node.state.commit(Class::Dispatch, &txn).await {
-            Outcome::Committed { .. } => open.truncate(keep),
-            Outcome::Conflict { failed } => {
-                let ended: Vec<&str> =
-                    failed.iter().filter_map(|k| k.strip_prefix(keys::END)).collect();
-                if ended.is_empty() {
-                    return Err(StateError::Bad);
-                }
+    let open: Vec<String> = s.by_ref.keys().cloned().collect();
+    loop {
+        match ended_of(node, open.clone()).await {
+            Ok(ended) => {
                 for name in &ended {
                     s.job_over(now, name);
                 }
-                open.retain(|n| !ended.contains(&n.as_str()));
+                break;
             }
-            Outcome::Refused | Outcome::Lost => sleep(Duration::from_millis(200)).await,
+            Err(StateError::Bad) => return Err(StateError::Bad),
+            Err(_) => sleep(Duration::from_millis(200)).await,
         }
     }
     for (name, (address, heard)) in node.addresses.borrow().iter() {
@@ -689,6 +702,80 @@
         tokio::task::spawn_local(watch(node.clone(), term, prefix, growth));
     }
     tokio::task::spawn_local(list_machines(node.clone(), term));
+    tokio::task::spawn_local(reconcile(node.clone(), term));
+    Ok(())
+}
+
+/// Which of the jobs have ended, by comparing: the ends of all jobs ever are never listed.
+async fn ended_of(node: &Node, mut open: Vec<String>) -> Result<Vec<String>, StateError> {
+    let most = (node.site.txn_ops * 4).min(200);
+    let mut found = Vec::new();
+    while !open.is_empty() {
+        let batch = &open[open.len().saturating_sub(most)..];
+        let txn = Txn {
+            guards: batch.iter().map(|n| Guard { key: keys::end(n), mark: 0 }).collect(),
+            apply: Vec::new(),
+        };
+        let keep = open.len() - batch.len();
+        match node.state.commit(Class::Dispatch, &txn).await {
+            Outcome::Committed { .. } => open.truncate(keep),
+            Outcome::Conflict { failed } => {
+                let before = open.len();
+                open.retain(|n| !failed.contains(&keys::end(n)));
+                if open.len() == before {
+                    return Err(StateError::Bad);
+                }
+                found.extend(
+                    failed.iter().filter_map(|k| k.strip_prefix(keys::END)).map(str::to_owned),
+                );
+            }
+            Outcome::Refused => return Err(StateError::Refused),
+            Outcome::Lost => return Err(StateError::Lost),
+        }
+    }
+    Ok(found)
+}
+
+/// Reads the truth again, now and then: jobs that are to be done, and which of them have ended. The
+/// watches tell the same sooner; but no job may hang on one message that was lost.
+async fn reconcile(node: Rc<Node>, term: u64) {
+    loop {
+        sleep(RECONCILE_EVERY).await;
+        if !leads(&node, term) {
+            return;
+        }
+        if !node.state.served() {
+            continue;
+        }
+        if let Err(e) = reconcile_once(&node, term).await {
+            debug!("reading the records again: {e}");
+        }
+    }
+}
+
+async fn reconcile_once(node: &Rc<Node>, term: u64) -> Result<(), StateError> {
+    let (todo, _) = node.state.list(Class::Poll, keys::TODO).await?;
+    let (now, wall) = (node.now(), node.wall_us());
+    let open = {
+        let mut scheduler = node.scheduler.borrow_mut();
+        let Some(s) = scheduler.as_mut().filter(|s| s.term == term) else { return Ok(()) };
+        for pair in &todo {
+            // One that was cleaned up since the list was read comes back here as a job to do; the
+            // guard on its end then fails, and it is cleaned up again.
+            if let Some(name) = pair.key.strip_prefix(keys::TODO) {
+                if !s.by_ref.contains_key(name) && s.add_job(now, name, &pair.value, wall) {
+                    info!(job = %name, "found by reading the records again");
+                }
+            }
+        }
+        s.open_jobs()
+    };
+    for name in ended_of(node, open).await? {
+        if let Some(end) = node.state.end(&name).await? {
+            node.learn_end(&name, end);
+        }
+    }
+    node.pump();
     Ok(())
 }
 
@@ -898,7 +985,7 @@
     fn key_for(incarnation: &str) -> Txn {
         Txn {
             guards: vec![Guard { key: keys::LEADER.into(), mark: 0 }],
-            apply: vec![Change::put(keys::LEADER, leader_value("kernel-0", incarnation))],
+            apply: vec![Change::put(keys::LEADER, leader_value("kernel-0", incarnation, 5))],
         }
     }
 
@@ -958,6 +1045,68 @@
         }
     }
 
+    /// A process back within its former lease met its own key and waited for it to run out.
+    #[tokio::test(start_paused = true)]
+    async fn a_node_back_at_once_ends_its_former_lead_and_no_other() {
+        let store = StandIn::default();
+        let node = store.node();
+        store.put(keys::LEADER, leader_value("kernel-0", "former", 5));
+        store.put("other", leader_value("kernel-1", "x", 6));
+        let pair = node.state.get(Class::Leadership, keys::LEADER).await.expect("ok").expect("key");
+        end_former_lead(&node, &pair).await;
+        assert!(!store.keys.borrow().contains_key(keys::LEADER));
+        assert!(store.keys.borrow().contains_key("other"));
+    }
+
+    /// Cut off from the state service and from the other nodes, while workers still reach it.
+    #[tokio::test(start_paused = true)]
+    async fn a_node_cut_off_from_state_and_peers_refuses_users_at_once() {
+        let store = StandIn::default();
+        let node = store.node();
+        node.ready_once.set(true);
+        store.fault(Fault::Down);
+        tokio::time::advance(PEER_FRESH + Duration::from_secs(1)).await;
+        let _ = node.state.get(Class::Poll, "x").await;
+        assert!(node.state.down());
+        assert!(!node.ready(), "alone with an unserved state");
+        let asked = store.asked.get();
+        let before = Instant::now();
+        let answer = users::poll(node.clone(), "req-000412").await;
+        assert_eq!((answer.status, answer.retry_after), (503, Some(1)));
+        assert_eq!(store.asked.get(), asked, "nobody is asked who does not answer");
+        assert_eq!(before.elapsed(), Duration::ZERO);
+        // The leader's own probe finds the service again.
+        store.fault(Fault::None);
+        let _ = node.state.get(Class::Leadership, "x").await;
+        assert!(!node.state.down() && node.ready());
+    }
+
+    /// The watch's answer with the job in it was lost, and with it every mention of the job.
+    #[tokio::test(start_paused = true)]
+    async fn a_job_that_no_message_told_of_is_found_and_a_lost_end_too() {
+        let store = StandIn::default();
+        let node = store.node();
+        let spec = serde_json::json!({"spec": {
+            "class": "c", "team": "one", "rank": "High", "tasks": 3, "cpus": 1.0, "gpus": 0.0,
+            "memory_gb": 1.0, "image": "i", "image_gb": 1.0, "types": null, "zone": null,
+            "one_zone": false, "spread": false, "spot": true, "estimate_s": 9.0,
+            "checkpoint_s": 0.0, "save_s": 0.0, "deadline_s": null}, "at": 1, "chunk": 50});
+        store.put(&keys::todo("req-1"), spec);
+        *node.scheduler.borrow_mut() = Some(Scheduler::new(
+            node.site.clone(),
+            node.tunables.clone(),
+            7,
+            node.types.borrow().clone(),
+            node.now(),
+        ));
+        reconcile_once(&node, 7).await.expect("read");
+        let open = || node.scheduler.borrow().as_ref().map(|s| s.open_jobs()).unwrap_or_default();
+        assert_eq!(open(), ["req-1"]);
+        store.put(&keys::end("req-1"), serde_json::json!("aborted"));
+        reconcile_once(&node, 7).await.expect("read");
+        assert!(open().is_empty());
+    }
+
     #[tokio::test(start_paused = true)]
     async fn a_status_of_a_former_life_says_nothing_of_now() {
         let node = StandIn::default().node();
--- a/crates/walnutlug/src/state.rs
+++ b/crates/walnutlug/src/state.rs
@@ -108,6 +108,7 @@
 
 /// How old an answer may be to show that the service serves this node.
 const FRESH: Duration = Duration::from_millis(2_500);
+const DOWN_AFTER: Duration = Duration::from_millis(1_500);
 const PROBE_AFTER: Duration = Duration::from_millis(900);
 const ANSWER: Duration = Duration::from_millis(900);
 
@@ -149,6 +150,14 @@
         self.last_ok.get().elapsed() < FRESH && fault.is_none_or(|f| self.last_ok.get() >= f)
     }
 
+    /// Whether the service has not answered this node for so long that a user who waits for one more
+    /// try would only wait. (In a cut that answers nothing, each try took its whole patience.)
+    pub fn down(&self) -> bool {
+        !self.served()
+            && self.last_fault.get().is_some_and(|f| f > self.last_ok.get())
+            && self.last_ok.get().elapsed() > DOWN_AFTER
+    }
+
     /// Asks for something cheap if nothing was answered lately, so that [`State::served`] is known
     /// even where no users come.
     pub async fn probe(&self) {
@@ -336,9 +345,10 @@
     }
 }
 
-/// The value under the leader key.
-pub fn leader_value(node: &str, incarnation: &str) -> Value {
-    json!({"node": node, "inc": incarnation})
+/// The value under the leader key. The lease is named so that the node itself, back within its
+/// time, can end it.
+pub fn leader_value(node: &str, incarnation: &str, lease: u64) -> Value {
+    json!({"node": node, "inc": incarnation, "lease": lease})
 }
 
 #[cfg(test)]
--- a/crates/walnutlug/src/users.rs
+++ b/crates/walnutlug/src/users.rs
@@ -128,6 +128,9 @@
     };
     if let Some(fault) = fault {
         // A job that was accepted once is never refused, whatever has changed since.
+        if node.state.down() {
+            return Answer::later("the state service can't be reached");
+        }
         return match node.state.get(Class::Submission, &keys::job(&name)).await {
             Ok(None) => {
                 info!(job = %name, "refused: {fault}");
@@ -140,6 +143,9 @@
             Err(e) => Answer::later(&e.to_string()),
         };
     }
+    if node.state.down() {
+        return Answer::later("the state service can't be reached");
+    }
     let chunk = chunk_size(node.settings.site.value_bytes);
     let value = todo_value(&spec, node.wall_us(), chunk);
     if value.to_string().len() > node.settings.site.value_bytes {
@@ -298,6 +304,9 @@
     if let Some(Known::Ended(end)) = node.desk.known(name) {
         return Status::Ended(end);
     }
+    if node.state.down() {
+        return Status::Unclear;
+    }
     let (reply, answer) = oneshot::channel();
     node.desk.checks.borrow_mut().entry(name.to_owned()).or_default().push(reply);
     start_checking(node);
@@ -527,6 +536,16 @@
             };
             match (self.fault.get(), method, path) {
                 (Fault::Down, _, _) => answer(503, json!({})),
+                (_, "GET", _) if path.starts_with("/keys?starts=") => {
+                    let rest = path.strip_prefix("/keys?starts=").unwrap_or_default();
+                    let prefix = rest.split('&').next().unwrap_or_default();
+                    let keys = self.keys.borrow();
+                    let found = keys.iter().filter(|(k, _)| k.starts_with(prefix));
+                    let pairs: Vec<Value> =
+                        found.map(|(k, (v, m))| json!({"key": k, "value": v, "mark": m})).collect();
+                    let growth = self.growth.get();
+                    answer(200, json!({"pairs": pairs, "hasNext": false, "growth": growth}))
+                }
                 (_, "GET", _) => {
                     let key = path.strip_prefix("/keys/").expect("a key");
                     match self.keys.borrow().get(key) {
@@ -536,6 +555,13 @@
                         None => answer(404, json!({"growth": self.growth.get()})),
                     }
                 }
+                (_, "DELETE", _) if path.starts_with("/leases/") => {
+                    // The keys on the lease go with it.
+                    self.keys.borrow_mut().retain(|_, (value, _)| {
+                        path.strip_prefix("/leases/") != Some(value["lease"].to_string().as_str())
+                    });
+                    answer(200, json!({}))
+                }
                 (fault, "POST", "/multi") => {
                     self.fault.set(Fault::None);
                     if fault == Fault::NotApplied {
