A take-over gives idle machines the time to answer before it calls them never come up

One that is said to run and doesn't answer within five seconds is not counted on when renting. Ruled out: a third of spot machines taken (nothing was taken at the first two take-overs).

--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -121,8 +121,9 @@
     pub fence: u64,
     /// Highest token with which a start was sent; a reap needs a higher one.
     pub start_token: u64,
-    /// Said to be running, by the cloud or by another node: worth asking directly.
-    pub said_up: bool,
+    /// Since when it is said to be running, by the cloud, another node or a report that may be a
+    /// late copy: worth asking directly.
+    pub said_up: Option<Time>,
     pub last_report: Time,
     pub rented: Time,
     pub notice: Option<Time>,
@@ -481,7 +482,7 @@
             expected: false,
             fence: 0,
             start_token: 0,
-            said_up: false,
+            said_up: None,
             last_report: now,
             rented: now,
             notice: None,
@@ -533,7 +534,7 @@
         let machine = &mut self.machines[m as usize];
         if machine.state == MachineState::Booting && machine.address.is_empty() {
             machine.address = address.to_owned();
-            machine.said_up = true;
+            machine.said_up.get_or_insert(now);
         }
     }
 
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -112,6 +112,9 @@
     }
 }
 
+/// How long a machine that is said to be up is counted on without having answered.
+const ANSWER_WITHIN: Span = Span::secs(5);
+
 /// Machines in one request, by the protocol.
 const MOST_ASKED: u32 = 50;
 const LOOK_EVERY: Span = Span::millis(500);
@@ -248,7 +251,14 @@
             if m.state == MachineState::Booting && m.tasks.is_empty() && m.draining.is_none() {
                 let boot = m.kind.and_then(|k| self.types.get(k)).map_or(60.0, |k| k.boot_s);
                 let limit = Span::from_secs(boot.max(5.0) * self.tun.boot_patience);
-                if now.since(m.rented) > limit {
+                // A new leader hears of machines that came up long ago, and has to give each the
+                // time to answer it. (By their age alone, each take-over gave back every machine
+                // that was idle and hadn't reported within its first second: a third of the fleet.)
+                let asked = match m.said_up {
+                    Some(since) => now.since(since) > patience + patience + patience,
+                    None => now.since(m.last_report) > patience + patience,
+                };
+                if now.since(m.rented) > limit && asked {
                     self.machines[i].draining = Some("never came up");
                     let text = format!("{} never came up: given back", self.machines[i].name);
                     self.note(text);
@@ -306,7 +316,11 @@
         let mut free = 0.0;
         for m in &self.machines {
             let Some(kind) = m.kind else { continue };
-            let coming = m.state == MachineState::Booting && m.expected && m.draining.is_none();
+            // One that is said to run and doesn't answer is most likely gone.
+            let coming = m.state == MachineState::Booting
+                && m.expected
+                && m.draining.is_none()
+                && m.said_up.is_none_or(|t| now.since(t) < ANSWER_WITHIN);
             if !coming && !self.open_for_work(now, m) {
                 continue;
             }
@@ -666,7 +680,9 @@
                     machine.address.clone_from(address);
                 }
             }
-            machine.said_up |= entry.stage == MachineStage::Running;
+            if entry.stage == MachineStage::Running {
+                machine.said_up.get_or_insert(now);
+            }
             if entry.stage == MachineStage::Failed {
                 // A failed machine stopped by itself, so nothing is on it any more. It stays
                 // listed until it is returned.
--- a/crates/core/src/receipts.rs
+++ b/crates/core/src/receipts.rs
@@ -36,7 +36,8 @@
             let m = &self.machines[ix];
             // A machine of the last leader's that has not reported yet is asked at the address that
             // the cloud or another node tells, so that a take-over doesn't wait for its next report.
-            let asked = m.state == MachineState::Booting && (m.said_up || !m.tasks.is_empty());
+            let asked =
+                m.state == MachineState::Booting && (m.said_up.is_some() || !m.tasks.is_empty());
             let known = m.state == MachineState::Up || asked;
             let can_send = known
                 && !m.busy
@@ -363,7 +364,7 @@
         }
         machine.kind = kind;
         machine.spot = report.spot;
-        machine.said_up = true;
+        machine.said_up.get_or_insert(now);
         if machine.zone != report.zone {
             // Tasks loaded before the machine was known were counted under no zone.
             let old = std::mem::replace(&mut machine.zone, report.zone.clone());
--- a/crates/core/tests/starts.rs
+++ b/crates/core/tests/starts.rs
@@ -737,3 +737,43 @@
         }
     }
 }
+
+/// Seen on the rough day of the grown maps cluster: within a second of each take-over a third of the
+/// fleet was given back as "never came up", since it was older than a boot and had not reported to
+/// the new leader yet.
+#[test]
+fn a_take_over_gives_idle_machines_time_to_answer() {
+    let mut w = World::new(&[("n-1", "a"), ("n-2", "b")]);
+    w.take_over();
+    let listed = |name: &str| ListedMachine {
+        name: name.into(),
+        address: Some("10.0.0.1:1".into()),
+        kind: "t8".into(),
+        zone: "a".into(),
+        spot: true,
+        stage: MachineStage::Running,
+        age_s: 500.0,
+    };
+    w.leader.machine_list(w.now, &[listed("n-1"), listed("n-2"), listed("n-dead")]);
+    let mut given_up: Vec<(u64, String)> = Vec::new();
+    // They answer after some seconds, as in a take-over of hundreds.
+    let awake = |w: &mut World, on: bool| w.workers.values_mut().for_each(|k| k.alive = on);
+    awake(&mut w, false);
+    for second in 0..20 {
+        w.wait(1_000);
+        w.leader.look_at_fleet(w.now);
+        for command in w.leader.take_commands() {
+            if let Command::Note(text) = command {
+                if text.contains("never came up:") {
+                    given_up.push((second, text));
+                }
+            }
+        }
+        if second == 4 {
+            awake(&mut w, true);
+        }
+        w.settle();
+    }
+    assert_eq!(given_up.len(), 1, "{given_up:?}");
+    assert!(given_up[0].1.contains("n-dead") && given_up[0].0 >= 9, "{given_up:?}");
+}
