--- a/crates/walnutlug/src/users.rs
+++ b/crates/walnutlug/src/users.rs
@@ -9,7 +9,7 @@
 
 use tokio::sync::oneshot;
 use tokio::time::{sleep, Duration, Instant};
-use tracing::info;
+use tracing::{debug, info};
 use walnutlug_core::book::{chunk_size, todo_value, Outcome};
 use walnutlug_core::job::{keys, End, JobSpec};
 use walnutlug_core::wire::{self, is_job_ref, job_answer, Change, Guard, Stage, Txn};
@@ -63,6 +63,10 @@
 const MOST_KNOWN: usize = 50_000;
 /// Time between two rounds of checks, so that many polls share a request.
 const CHECK_EVERY: Duration = Duration::from_millis(120);
+/// An acceptance whose answer takes longer is sent once more.
+const SECOND_COPY_AFTER: Duration = Duration::from_millis(70);
+/// Slower submissions are worth a line when debugging.
+const SLOW_MS: u64 = 150;
 /// After this long an undecided request is refused, to be repeated by its user.
 const DECIDE_WITHIN: Duration = Duration::from_millis(2_500);
 
@@ -155,7 +159,11 @@
     node.desk.submissions.borrow_mut().push(Waiting { name: name.clone(), value, reply });
     start_submitting(&node);
     let accepted = tokio::time::timeout(DECIDE_WITHIN, answer).await;
-    node.submit_times.borrow_mut().saturating_record(started.elapsed().as_millis() as u64);
+    let ms = started.elapsed().as_millis() as u64;
+    node.submit_times.borrow_mut().saturating_record(ms);
+    if ms > SLOW_MS {
+        debug!(job = %name, ms, accepted = matches!(accepted, Ok(Ok(_))), "a slow submission");
+    }
     match accepted {
         Ok(Ok(Accept::New)) => Answer::json(201, &job_answer(&name, Stage::Queued, None)),
         Ok(Ok(Accept::Known)) => known_answer(&node, &name).await,
@@ -245,7 +253,7 @@
             txn.apply.push(Change::put(keys::job(&w.name), serde_json::json!(1)));
             txn.apply.push(Change::put(keys::todo(&w.name), w.value.clone()));
         }
-        match node.state.commit(Class::Submission, &txn).await {
+        match commit_twice(node, &txn).await {
             Outcome::Committed { .. } => {
                 for w in batch.drain(..) {
                     node.desk.learn(&w.name, Known::Accepted);
@@ -278,6 +286,24 @@
     }
 }
 
+/// Sends an acceptance, and once more over another connection if the answer takes long: now and then
+/// the state service takes some hundred milliseconds over one request and few over the next. Both
+/// are guarded by the job's absence, so only one takes effect; the other then finds the job known.
+async fn commit_twice(node: &Rc<Node>, txn: &Txn) -> Outcome {
+    let first = node.state.commit(Class::Submission, txn);
+    tokio::pin!(first);
+    if let Ok(outcome) = tokio::time::timeout(SECOND_COPY_AFTER, &mut first).await {
+        return outcome;
+    }
+    let second = node.state.commit(Class::Submission, txn);
+    tokio::pin!(second);
+    let certain = |o: &Outcome| matches!(o, Outcome::Committed { .. } | Outcome::Conflict { .. });
+    tokio::select! {
+        outcome = &mut first => if certain(&outcome) { outcome } else { second.await },
+        outcome = &mut second => if certain(&outcome) { outcome } else { first.await },
+    }
+}
+
 fn reply_all(batch: Vec<Waiting>, answer: Accept) {
     for w in batch {
         let _ = w.reply.send(answer);
