A job's share of the fleet counts against its slack: large jobs make fewer small ones late

Cause: under overload the order by least slack alone lets every job run until all are late. That the largest begin in time and that the old get done is kept by age.

--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -246,6 +246,8 @@
     pub in_office: bool,
     /// What was logged of odd reports, each once.
     pub(crate) odd: BTreeSet<(String, &'static str)>,
+    /// Processors of the machines that are up, as of the last round.
+    pub(crate) fleet_cpus: f64,
     pub(crate) last_preempt: Time,
     /// Machines to be looked at for something to send, each once.
     pub(crate) attention: Vec<MachineIx>,
@@ -311,6 +313,7 @@
             dirty: true,
             in_office: true,
             odd: BTreeSet::new(),
+            fleet_cpus: 0.0,
             last_preempt: Time(0),
             attention: Vec::new(),
             last_sweep: Time(0),
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -12,6 +12,8 @@
 const LULL: Span = Span::secs(120);
 /// Seconds of lost work that a job's missed deadline counts for when choosing what to stop.
 const SPOILT: f64 = 300.0;
+/// How much a job's share of the fleet counts against its slack.
+const SIZE_WEIGHT: f64 = 8.0;
 /// Seconds after which a missed aim on starting is given up, and the one on finishing counts.
 const GRACE: f64 = 1.5;
 /// Shortest time between two looks for work to stop: what was stopped needs a moment to go.
@@ -31,6 +33,8 @@
     pub hopeless: bool,
     /// Seconds until the job has to start to meet its aim.
     pub slack: f64,
+    /// Seconds that the job's own work takes of the whole fleet, weighted.
+    pub size: f64,
     /// The same without the aim on starting: what a machine that has yet to boot can still help.
     pub finish_slack: f64,
     pub accepted: Time,
@@ -55,7 +59,7 @@
             .then(other.rank.cmp(&self.rank))
             .then(other.owed.cmp(&self.owed))
             .then(self.hopeless.cmp(&other.hopeless))
-            .then(self.slack.total_cmp(&other.slack))
+            .then((self.slack + self.size).total_cmp(&(other.slack + other.size)))
             .then(self.accepted.cmp(&other.accepted))
     }
 }
@@ -81,6 +85,7 @@
         let age = now.since(job.accepted).as_secs();
         let mut slack = f64::INFINITY;
         let mut hopeless = false;
+        let mut size = 0.0;
         if let Some(deadline) = spec.deadline_s {
             // Estimates err by half: only what is far beyond its time is given up, and then the
             // class's longer deadline counts, if it has one.
@@ -92,6 +97,11 @@
             slack = slack.min(within.as_secs() - age - run);
         }
         let finish_slack = slack;
+        // Under overload not all jobs can be in time; the large ones would make many small ones late.
+        if slack.is_finite() && self.fleet_cpus > 0.0 {
+            let left = f64::from(spec.tasks - job.done) * spec.cpus * run;
+            size = (left / self.fleet_cpus * SIZE_WEIGHT).min(600.0);
+        }
         // A start that is late already gains nothing from being hurried further: then the class's
         // next aim on starting counts, if it has a looser one.
         let lost = Span::from_secs(age - GRACE);
@@ -122,6 +132,7 @@
             rank: spec.rank,
             owed,
             hopeless,
+            size,
             slack,
             finish_slack,
             accepted: job.accepted,
@@ -267,6 +278,8 @@
     /// once; a job then looks at those alone, so that a round costs about what it changes and not
     /// tasks times machines.
     pub fn place(&mut self, now: Time) {
+        let up = self.machines.iter().filter(|m| m.state == MachineState::Up);
+        self.fleet_cpus = up.filter_map(|m| Some(self.types.get(m.kind?)?.cpus)).sum();
         let queue = self.queue(now);
         if queue.is_empty() {
             return;
