--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -4,6 +4,7 @@
 
 use crate::book::{Command, Job, JobIx, MachineState, Scheduler};
 use crate::job::{JobSpec, SLACK};
+use crate::task::Phase;
 use crate::time::{Span, Time};
 use crate::wire::{ListedMachine, MachineStage};
 
@@ -115,6 +116,9 @@
 /// How long a machine that is said to be up is counted on without having answered.
 const ANSWER_WITHIN: Span = Span::secs(5);
 
+/// The part of a notice's time that is counted on.
+const NOTICE_TRUST: f64 = 0.75;
+
 /// Machines in one request, by the protocol.
 const MOST_ASKED: u32 = 50;
 const LOOK_EVERY: Span = Span::millis(500);
@@ -132,6 +136,7 @@
             return;
         }
         self.judge_machines(now);
+        self.evacuate(now);
         // A new leader first hears what machines there are.
         if self.fleet.listed || now.since(self.started_at) > Span::secs(10) {
             self.rent(now);
@@ -268,6 +273,42 @@
         self.mark_slow(now);
     }
 
+    /// Stops what won't be done on a machine before the cloud takes it, where it can run elsewhere:
+    /// left alone, it would lose the rest of the notice as well, and the time until the machine is
+    /// found to be gone. What has a good chance to complete, or nowhere to go, runs on.
+    fn evacuate(&mut self, now: Time) {
+        if !self.machines.iter().any(|m| m.notice.is_some() && !m.tasks.is_empty()) {
+            return;
+        }
+        let mut room: f64 = self
+            .machines
+            .iter()
+            .filter(|m| self.open_for_work(now, m))
+            .filter_map(|m| Some((self.types.get(m.kind?)?.cpus - m.cpus).max(0.0)))
+            .sum();
+        let mut leave = Vec::new();
+        for m in self.machines.iter().filter(|m| m.state == MachineState::Up) {
+            let Some(notice) = m.notice else { continue };
+            // It may come at half the time told.
+            let left = notice.since(now).as_secs() * NOTICE_TRUST;
+            for &id in &m.tasks {
+                let Some(job) = self.job(id.0) else { continue };
+                let task = &job.tasks[id.1 as usize];
+                let started = job.started.get(&id.1);
+                let ran = started.map_or(0.0, |&t| now.since(t).as_secs());
+                let sent = task.token != 0 && task.phase != Phase::Stopping;
+                if !sent || ran + left >= self.expected_run(job) || room < job.spec.cpus {
+                    continue;
+                }
+                room -= job.spec.cpus;
+                leave.push((id, crate::book::grace_of(&job.spec)));
+            }
+        }
+        for (id, grace) in leave {
+            self.stop(now, id, grace);
+        }
+    }
+
     /// A machine on which tasks run far longer than their siblings elsewhere is drained.
     fn mark_slow(&mut self, now: Time) {
         let mut slow = Vec::new();
--- a/crates/core/tests/starts.rs
+++ b/crates/core/tests/starts.rs
@@ -777,3 +777,35 @@
     assert_eq!(given_up.len(), 1, "{given_up:?}");
     assert!(given_up[0].1.contains("n-dead") && given_up[0].0 >= 9, "{given_up:?}");
 }
+
+/// A third of the spot machines got notice, and their tasks stayed until the machines were gone and
+/// found to be gone.
+#[test]
+fn notice_moves_what_would_not_be_done_in_time_if_there_is_room() {
+    let mut w = World::new(&[("n-1", "a"), ("n-2", "a")]);
+    w.submit("req-000001", &JobSpec { estimate_s: 60.0, ..spec(1) });
+    w.submit("req-000002", &JobSpec { estimate_s: 4.0, ..spec(1) });
+    w.settle();
+    let name = w.places()["req-000001/0"][0].clone();
+    assert_eq!(w.places()["req-000002/0"][0], name, "the fullest");
+    w.all_report();
+    let notice = |w: &mut World| {
+        w.workers.get_mut(&name).expect("worker").notice = Some(12.0);
+        w.report(&name);
+        w.leader.look_at_fleet(w.now);
+        w.settle();
+        w.all_report();
+        w.settle();
+    };
+    notice(&mut w);
+    let places = w.places();
+    assert_ne!(places["req-000001/0"][0], name, "moved");
+    assert_eq!(places["req-000002/0"][0], name, "will be done in time");
+    // With nowhere to go it stays.
+    let mut w = World::new(&[("n-1", "a")]);
+    w.submit("req-000001", &JobSpec { estimate_s: 60.0, ..spec(1) });
+    w.settle();
+    w.all_report();
+    notice(&mut w);
+    assert_eq!(w.places().len(), 1);
+}
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -63,6 +63,7 @@
     pub token: u64,
     pub tasks: BTreeMap<(String, u64), (TaskStage, Option<Cause>)>,
     pub alive: bool,
+    pub notice: Option<f64>,
 }
 
 impl Worker {
@@ -75,6 +76,7 @@
             token: 0,
             tasks: BTreeMap::new(),
             alive: true,
+            notice: None,
         }
     }
 
@@ -89,7 +91,7 @@
             session: self.session,
             seq: self.seq,
             token: self.token,
-            notice_s: None,
+            notice_s: self.notice,
             tasks: self
                 .tasks
                 .iter()
