An image counts as there from the dispatch on, and by the records after a take-over

Cause: between a quarter and a half of the starts found their image, by the new line of the log: a new leader forgot all images, and a second job for an image went to fetch it elsewhere.

--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -460,6 +460,9 @@
         for (index, machine) in placed {
             let m = self.machine_named(now, &machine);
             self.attach((ix, index), m);
+            if let Some(image) = self.job(ix).map(|j| j.spec.image.clone()) {
+                self.has_image(m, image);
+            }
         }
         true
     }
@@ -654,6 +657,12 @@
             if let Some(job) = self.jobs.get_mut(&id.0) {
                 let chunk = job.chunk_of(id.1);
                 job.chunks[chunk].start_due.get_or_insert(now);
+                self.tally.placed += 1;
+                let images = &self.machines[machine as usize].images;
+                self.tally.cached += usize::from(images.contains(&job.spec.image));
+                // It will be there once fetched; the next task for it need not fetch it elsewhere.
+                let image = job.spec.image.clone();
+                self.has_image(machine, image);
             }
         }
     }
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -25,6 +25,9 @@
     pub ends: usize,
     pub drops: usize,
     pub jobs: usize,
+    /// Tasks placed, and how many of them where their image is known to be.
+    pub placed: usize,
+    pub cached: usize,
 }
 
 /// What one transaction writes, and what its outcome decides.
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -207,6 +207,7 @@
                 "state changes: starts {}, evidence {}, ends {}, drops {} of {} jobs",
                 t.starts, t.evidence, t.ends, t.drops, t.jobs
             ));
+            self.note(format!("placed {} tasks, {} where the image is", t.placed, t.cached));
         }
         self.fleet.usage = u;
     }
--- a/crates/core/src/receipts.rs
+++ b/crates/core/src/receipts.rs
@@ -415,7 +415,7 @@
         }
     }
 
-    fn has_image(&mut self, m: MachineIx, image: String) {
+    pub(crate) fn has_image(&mut self, m: MachineIx, image: String) {
         let images = &mut self.machines[m as usize].images;
         if images.last() != Some(&image) {
             images.retain(|i| *i != image);
