Nothing is returned as idle while a job waits that may run, as it was

Cause: without the condition idle ordinary machines left after 8 s while jobs waited for other room, and were rented anew for at least 60 s each.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -571,7 +571,10 @@
 
     /// Drains machines that have had nothing to do for a while, ordinary ones sooner.
     fn return_idle(&mut self, now: Time) {
-        // A machine that stood idle while jobs waited is one that none of them can use.
+        // While a job waits that may run, the next thing to get free may be of use to it.
+        if self.queue(now).iter().any(|&(_, ix)| self.room_in_team(ix) > 0) {
+            return;
+        }
         let mut free: f64 = self
             .machines
             .iter()
