--- a/crates/core/src/tunables.rs
+++ b/crates/core/src/tunables.rs
@@ -68,7 +68,7 @@
             headroom: 0.5,
             headroom_cheap: 5.0,
             idle_cheap: Span::secs(200),
-            begin_within: Span::secs(120),
+            begin_within: Span::secs(160),
             lift_after: Span::secs(420),
             lift_share: 0.1,
             boot_patience: 3.0,
--- a/deploy/walnutlug.lua
+++ b/deploy/walnutlug.lua
@@ -16,7 +16,7 @@
   headroom = 0.5,
   headroom_cheap = 5.0,
   idle_cheap = 200.0,
-  begin_within = 120.0,
+  begin_within = 160.0,
   lift_after = 420.0,
   lift_share = 0.1,
   boot_patience = 3.0,
