--- a/crates/core/src/receipts.rs
+++ b/crates/core/src/receipts.rs
@@ -278,6 +278,9 @@
                 foreign += 1;
             }
         }
+        if foreign > 0 {
+            self.note_once(&report.machine, "runs tasks that have no business there");
+        }
         let mine: Vec<TaskId> = self.machines[m as usize].tasks.iter().copied().collect();
         let mut changed = foreign != self.machines[m as usize].foreign;
         self.machines[m as usize].foreign = foreign;
--- a/crates/walnutlug/src/http/server.rs
+++ b/crates/walnutlug/src/http/server.rs
@@ -47,7 +47,11 @@
 
     /// What can't be decided now is refused at once, with the time to come again.
     pub fn later(text: &str) -> Answer {
-        Answer { retry_after: Some(1), ..Answer::error(503, text) }
+        Answer::later_by(1, text)
+    }
+
+    pub fn later_by(seconds: u32, text: &str) -> Answer {
+        Answer { retry_after: Some(seconds.max(1)), ..Answer::error(503, text) }
     }
 }
 
--- a/crates/walnutlug/src/node.rs
+++ b/crates/walnutlug/src/node.rs
@@ -81,6 +81,8 @@
     /// The name up to which machines' addresses were told in this turn.
     addresses_told: RefCell<String>,
     checking_lead: Cell<bool>,
+    /// Whether a late status of another node was logged; once is enough.
+    stale_told: Cell<bool>,
     /// Until when the leader's lease is certainly held.
     lease_until: Cell<Instant>,
     /// Connections from users and workers.
@@ -134,6 +136,7 @@
             addresses: RefCell::default(),
             addresses_told: RefCell::default(),
             checking_lead: Cell::new(false),
+            stale_told: Cell::new(false),
             lease_until: Cell::new(Instant::now()),
             open: Rc::default(),
             life: SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64),
@@ -200,7 +203,9 @@
                     (known.life, known.count) >= (life, count) && known.heard.elapsed() < PEER_FRESH
                 });
                 if stale {
-                    debug!(peer = %name, "a status of the past is passed over");
+                    if !self.stale_told.replace(true) {
+                        info!(peer = %name, "a status of the past is passed over");
+                    }
                     return;
                 }
                 if states.len() < 64 || states.contains_key(&name) {
--- a/crates/walnutlug/src/state.rs
+++ b/crates/walnutlug/src/state.rs
@@ -135,6 +135,12 @@
         pacer.wps = (self.wps * part).max(2.0);
     }
 
+    /// How long so many changes take at this node's share of the write rate.
+    pub fn time_for(&self, changes: usize) -> Duration {
+        let pacer = self.pacer.borrow();
+        Duration::from_secs_f64(changes as f64 / pacer.wps)
+    }
+
     /// How many changes of a round the pacer would let through at once now, and at most.
     pub fn writes_left(&self) -> (f64, f64) {
         let mut pacer = self.pacer.borrow_mut();
--- a/crates/walnutlug/src/users.rs
+++ b/crates/walnutlug/src/users.rs
@@ -155,6 +155,11 @@
     if value.to_string().len() > node.settings.site.value_bytes {
         return Answer::error(400, "breeds: the description is too long to be kept");
     }
+    // What can't be written in time is told so at once, and when to come again.
+    let wait = node.state.time_for(2 * node.desk.submissions.borrow().len());
+    if wait > DECIDE_WITHIN {
+        return Answer::later_by(wait.as_secs() as u32, "too many submissions at once");
+    }
     let (reply, answer) = oneshot::channel();
     node.desk.submissions.borrow_mut().push(Waiting { name: name.clone(), value, reply });
     start_submitting(&node);
@@ -708,6 +713,40 @@
         LocalSet::new().run_until(play).await;
     }
 
+    /// At 20 changes a second, a rush of submissions once waited 2.5 s each to be refused.
+    #[tokio::test(start_paused = true)]
+    async fn a_rush_beyond_the_write_rate_is_told_at_once_when_to_come_again() {
+        let store = StandIn::default();
+        let node = store.node();
+        let play = async {
+            let tries: Vec<_> = (0..60)
+                .map(|i| {
+                    let mut body = submission();
+                    body["ref"] = json!(format!("req-{i}"));
+                    let answer = submit(node.clone(), body.to_string().into_bytes());
+                    tokio::task::spawn_local(async move {
+                        let answer = answer.await;
+                        (answer.status, answer.retry_after, Instant::now())
+                    })
+                })
+                .collect();
+            let began = Instant::now();
+            let (mut refused, mut accepted) = (0, 0);
+            for one in tries {
+                let (status, after, at) = one.await.expect("an answer");
+                if status == 503 {
+                    refused += 1;
+                    assert_eq!(at, began, "held back");
+                    assert!(after.is_some_and(|s| s >= 2), "{after:?}");
+                } else {
+                    accepted += 1;
+                }
+            }
+            assert!(refused > 30 && accepted > 5, "{refused} refused, {accepted} accepted");
+        };
+        LocalSet::new().run_until(play).await;
+    }
+
     #[tokio::test(start_paused = true)]
     async fn an_end_has_one_writer_and_every_node_tells_it() {
         let store = StandIn::default();
