Types that come while the records are read reach the book

Cause: on loopback the cloud answered within the 0.1 s of reading the records; there was no book to tell then, and the one that came had no types until a price moved: nothing was rented or placed. Ruled out: write allowance, lease, watches (all in order).

--- a/crates/walnutlug/src/node.rs
+++ b/crates/walnutlug/src/node.rs
@@ -699,7 +699,7 @@
         ms = began.elapsed().as_millis() as u64,
         "records read: leading"
     );
-    *node.scheduler.borrow_mut() = Some(s);
+    install(node, s);
     if !node.leadership.borrow_mut().step(node.now(), Input::Loaded { term }) {
         return Err(StateError::Gone);
     }
@@ -784,6 +784,14 @@
     Ok(())
 }
 
+/// The book becomes the node's. The machine types may have come while the records were read, when
+/// there was no book to tell them to. (Seen on loopback, where the cloud answers within that time:
+/// a leader without types rented and placed nothing until a price moved.)
+fn install(node: &Node, mut s: Scheduler) {
+    s.set_types(node.types.borrow().clone());
+    *node.scheduler.borrow_mut() = Some(s);
+}
+
 async fn retry(
     node: &Rc<Node>,
     prefix: &str,
@@ -1050,6 +1058,15 @@
         }
     }
 
+    #[tokio::test(start_paused = true)]
+    async fn types_that_came_while_the_records_were_read_reach_the_book() {
+        let node = StandIn::default().node();
+        let (site, tunables) = (node.site.clone(), node.tunables.clone());
+        install(&node, Scheduler::new(site, tunables, 7, Vec::new(), node.now()));
+        let book = node.scheduler.borrow();
+        assert_eq!(book.as_ref().map(|s| s.types.len()), Some(1));
+    }
+
     /// A process back within its former lease met its own key and waited for it to run out.
     #[tokio::test(start_paused = true)]
     async fn a_node_back_at_once_ends_its_former_lead_and_no_other() {
