--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use crate::book::{Command, Job, JobIx, MachineState, Scheduler};
+use crate::book::{Command, Job, JobIx, MachineState, Scheduler, OVERDUE};
 use crate::job::{JobSpec, SLACK};
 use crate::task::Phase;
 use crate::time::{Span, Time};
@@ -212,9 +212,16 @@
         self.fleet.usage = u;
     }
 
+    /// Silence after which a machine is given up: its report is overdue, it was asked directly and
+    /// has had the time to answer. (Counted in seconds that suited reports every three, every
+    /// machine whose reports came six seconds apart was given back as soon as one was a bit late.)
+    pub(crate) fn patience(&self) -> Span {
+        self.site.report.scale(OVERDUE) + self.tun.patience
+    }
+
     /// Marks machines that have to go: silent, overdue, slow, faulty.
     fn judge_machines(&mut self, now: Time) {
-        let patience = self.tun.patience;
+        let patience = self.patience();
         // One that is heard and doesn't hear has twice the patience: it may be the answer alone
         // that was late.
         let lost_for = |m: &crate::book::Machine| {
--- a/crates/core/src/tunables.rs
+++ b/crates/core/src/tunables.rs
@@ -11,7 +11,7 @@
     pub leader_lease: Span,
     /// Added to the worker lease before an unconfirmed start is settled as unknown.
     pub settle_margin: Span,
-    /// Silence after which a machine that holds tasks is given back to the cloud.
+    /// Silence beyond an overdue report after which a machine is given back to the cloud.
     pub patience: Span,
     /// Idle time after which a spot machine is returned.
     pub idle_spot: Span,
@@ -58,7 +58,7 @@
         Tunables {
             leader_lease: Span::millis(2_500),
             settle_margin: Span::secs(2),
-            patience: Span::millis(6_500),
+            patience: Span::millis(2_300),
             idle_spot: Span::secs(20),
             idle_ordinary: Span::secs(8),
             ordinary_slack: Span::secs(50),
--- a/crates/core/tests/starts.rs
+++ b/crates/core/tests/starts.rs
@@ -6,8 +6,10 @@
 use walnutlug_core::book::{Command, DirectOutcome, MachineState, Outcome};
 use walnutlug_core::job::{keys, JobSpec};
 use walnutlug_core::task::Phase;
+use walnutlug_core::time::Span;
+use walnutlug_core::tunables::Site;
 use walnutlug_core::wire::{Call, ListedMachine, MachineStage};
-use world::{spec, World};
+use world::{site, spec, World};
 
 const JOB: &str = "req-000001";
 
@@ -809,3 +811,41 @@
     notice(&mut w);
     assert_eq!(w.places().len(), 1);
 }
+
+/// With reports every six seconds, give or take a quarter, each machine whose report was a bit late
+/// was given back with its work: patience was six and a half seconds, whatever the interval.
+#[test]
+fn patience_counts_from_when_a_report_is_overdue() {
+    for report in [3, 6, 20] {
+        let site = Site { report: Span::secs(report), lease: Span::secs(5 * report), ..site() };
+        let mut w = World::of(site, &[("n-1", "a"), ("n-2", "a"), ("n-3", "b")]);
+        w.submit("req-000001", &JobSpec { estimate_s: 900.0, deadline_s: None, ..spec(3) });
+        w.settle();
+        let holder = w.places()["req-000001/0"][0].clone();
+        w.all_report();
+        let mut silent_ms = 0;
+        let given_back = loop {
+            w.wait(100);
+            silent_ms += 150;
+            w.tick();
+            w.leader.look_at_fleet(w.now);
+            // Nobody is asked successfully; the others report.
+            for name in ["n-1", "n-2", "n-3"].into_iter().filter(|n| *n != holder) {
+                w.report(name);
+            }
+            w.commands.extend(w.leader.take_commands());
+            let gone = |c: &Command| matches!(c, Command::Return { machines } if machines.contains(&holder));
+            if w.commands.iter().any(gone) {
+                break silent_ms;
+            }
+            w.commands.clear();
+            assert!(silent_ms < 60_000);
+        };
+        // Late by a quarter and asked, with the two seconds that a question may take.
+        assert!(given_back as f64 > report as f64 * 1_250.0 + 2_000.0, "{report}: {given_back} ms");
+        assert!(
+            given_back as f64 <= report as f64 * 1_400.0 + 3_000.0,
+            "{report}: {given_back} ms"
+        );
+    }
+}
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -236,12 +236,16 @@
 
 impl World {
     pub fn new(machines: &[(&str, &str)]) -> World {
+        World::of(site(), machines)
+    }
+
+    pub fn of(site: Site, machines: &[(&str, &str)]) -> World {
         let mut store = Store::default();
         let term = store.put(keys::LEADER, json!("first"));
         let now = Time(1 << 40);
         let workers = machines.iter().map(|(n, z)| ((*n).to_owned(), Worker::new(n, z))).collect();
         let leader =
-            Scheduler::new(Rc::new(site()), Rc::new(Tunables::default()), term, types(), now);
+            Scheduler::new(Rc::new(site), Rc::new(Tunables::default()), term, types(), now);
         let mut world = World { now, store, workers, leader, commands: Vec::new() };
         world.all_report();
         world.all_report();
--- a/deploy/walnutlug.lua
+++ b/deploy/walnutlug.lua
@@ -6,7 +6,7 @@
 return {
   leader_lease = 2.5,
   settle_margin = 2.0,
-  patience = 6.5,
+  patience = 2.3,
   idle_spot = 20.0,
   idle_ordinary = 8.0,
   ordinary_slack = 50.0,
