--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -122,6 +122,9 @@
 /// Machines in one request, by the protocol.
 const MOST_ASKED: u32 = 50;
 const LOOK_EVERY: Span = Span::millis(500);
+/// Refusals in a row that lengthen the pause before an offer is tried again: 16 s at most, since the
+/// cloud takes machines back all the time and then has them to give.
+const MOST_REFUSALS: u32 = 2;
 const RETURN_RETRY: Span = Span::secs(6);
 
 impl Scheduler {
@@ -649,6 +652,7 @@
         self.fleet.returning = self.fleet.returning.saturating_sub(1);
         for name in names {
             if ok {
+                self.reopen_offer(name);
                 self.machine_gone(now, name);
             } else if let Some(&m) = self.by_name.get(name) {
                 self.machines[m as usize].return_sent =
@@ -657,6 +661,17 @@
         }
     }
 
+    /// What was given back is to be had again, whatever was refused before. (After a cut of a zone
+    /// half the fleet had been given back, and nothing was rented there for half a minute.)
+    fn reopen_offer(&mut self, name: &str) {
+        let Some(&m) = self.by_name.get(name) else { return };
+        let machine = &self.machines[m as usize];
+        if let Some(kind) = machine.kind {
+            let offer = (kind, machine.zone.clone(), machine.spot);
+            self.fleet.refused.remove(&offer);
+        }
+    }
+
     /// The answer to [`Command::Rent`]: the names, or nothing if there was no capacity, or
     /// `Err` if the cloud gave no usable answer.
     pub fn rented(
@@ -680,7 +695,7 @@
         };
         if (got.len() as u32) < asked {
             let entry = self.fleet.refused.entry(offer.clone()).or_insert((now, 0));
-            entry.1 = (entry.1 + 1).min(4);
+            entry.1 = (entry.1 + 1).min(MOST_REFUSALS);
             entry.0 = now + Span::secs(4 << entry.1);
         } else {
             self.fleet.refused.remove(&offer);
