Sockets shared by need at half as many machines again; no table looked through whole

Cause: workers kept 52% of the sockets, 1,722 of 3,312 where 2,063 may report; dead connections lay for 75 s; 2,000 addresses at most; a look at the whole table for each machine that a list names. Tests: shares at four sizes, an idle worker's connection, places of machines long gone.

--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -4,7 +4,7 @@
 //! asked for commands; when the term is lost it is thrown away. Rounds and their writes are in
 //! [`crate::dispatch`], what workers tell in [`crate::receipts`].
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 use serde_json::{json, Value};
 
@@ -227,6 +227,8 @@
     pub by_ref: HashMap<String, JobIx>,
     pub machines: Vec<Machine>,
     pub by_name: HashMap<String, MachineIx>,
+    /// Machines that are gone, in the order in which they went.
+    pub(crate) gone: VecDeque<(Time, MachineIx)>,
     pub types: Vec<MachineType>,
     pub team_use: HashMap<String, (f64, f64)>,
     pub(crate) out: Vec<Command>,
@@ -279,8 +281,8 @@
 pub const OVERDUE: f64 = 1.4;
 /// How long a machine that is gone is remembered, against late reports of it.
 const FORGET_AFTER: Span = Span::secs(600);
-/// Odd things to remember as logged.
-const MOST_ODD: usize = 2_000;
+/// Odd things to remember as logged: several for each machine of any fleet.
+const MOST_ODD: usize = 20_000;
 /// Classes to learn about; more than any deployment has, fewer than would hurt.
 const MOST_CLASSES: usize = 1_000;
 
@@ -301,6 +303,7 @@
             by_ref: HashMap::new(),
             machines: Vec::new(),
             by_name: HashMap::new(),
+            gone: VecDeque::new(),
             types,
             team_use: HashMap::new(),
             out: Vec::new(),
@@ -509,21 +512,11 @@
             draining: None,
             return_sent: None,
         };
-        // A machine that is long gone leaves its place to a new one, or the table would grow for
-        // as long as a leader leads. Nothing may refer to it any more.
-        let gone = |m: &Machine| {
-            m.state == MachineState::Gone
-                && m.tasks.is_empty()
-                && !m.busy
-                && now.since(m.last_report) > FORGET_AFTER
-        };
-        let free =
-            if self.machines.len() >= 64 { self.machines.iter().position(gone) } else { None };
-        let ix = match free {
+        let ix = match self.free_place(now) {
             Some(ix) => {
-                self.by_name.remove(&self.machines[ix].name);
-                self.machines[ix] = machine;
-                ix as MachineIx
+                self.by_name.remove(&self.machines[ix as usize].name);
+                self.machines[ix as usize] = machine;
+                ix
             }
             None => {
                 self.machines.push(machine);
@@ -534,6 +527,23 @@
         ix
     }
 
+    /// The place of a machine that is long gone, for a new one: the table would grow for as long as a
+    /// leader leads. Nothing may refer to it any more. Only the one that went first is looked at (a
+    /// look at all of them for each new machine made a take-over's list cost its square).
+    fn free_place(&mut self, now: Time) -> Option<MachineIx> {
+        let &(gone_at, ix) = self.gone.front()?;
+        if now.since(gone_at) <= FORGET_AFTER {
+            return None;
+        }
+        self.gone.pop_front();
+        let m = &self.machines[ix as usize];
+        if m.state == MachineState::Gone && m.tasks.is_empty() && !m.busy {
+            return Some(ix);
+        }
+        self.gone.push_back((now, ix));
+        None
+    }
+
     /// Another node tells where a machine can be reached: only worth asking there.
     pub fn hint_address(&mut self, now: Time, name: &str, address: &str) {
         let m = self.machine_named(now, name);
--- a/crates/core/src/receipts.rs
+++ b/crates/core/src/receipts.rs
@@ -545,6 +545,7 @@
         }
         machine.state = MachineState::Gone;
         machine.outbox.clear();
+        self.gone.push_back((now, m));
         // Starts that waited for the next message to it are never sent.
         self.last_look(now, m, false);
         let machine = &self.machines[m as usize];
--- a/crates/core/tests/starts.rs
+++ b/crates/core/tests/starts.rs
@@ -857,3 +857,21 @@
         );
     }
 }
+
+#[test]
+fn machines_that_are_long_gone_leave_their_places() {
+    let mut w = World::new(&[("n-1", "a")]);
+    for i in 0..3_000 {
+        let name = format!("x-{i:06}");
+        w.leader.rented(w.now, "t8", "a", true, 1, Ok(vec![name.clone()]));
+        w.leader.machine_gone(w.now, &name);
+        w.wait(1_000);
+    }
+    // Those of the last ten minutes are remembered, against late reports of them.
+    let table = w.leader.machines.len();
+    assert!((500..700).contains(&table), "{table}");
+    assert_eq!(w.leader.by_name.len(), table);
+    assert!(
+        w.leader.by_name.contains_key("x-002999") && !w.leader.by_name.contains_key("x-000001")
+    );
+}
--- a/crates/walnutlug/src/http/server.rs
+++ b/crates/walnutlug/src/http/server.rs
@@ -34,11 +34,19 @@
     pub retry_after: Option<u32>,
     /// The connection is closed after this answer.
     pub close: bool,
+    /// How long the connection may stand idle after this answer, if not as long as any.
+    pub idle: Option<Duration>,
 }
 
 impl Answer {
     pub fn json(status: u16, value: &Value) -> Answer {
-        Answer { status, body: value.to_string().into_bytes(), retry_after: None, close: false }
+        Answer {
+            status,
+            body: value.to_string().into_bytes(),
+            retry_after: None,
+            close: false,
+            idle: None,
+        }
     }
 
     pub fn error(status: u16, text: impl Into<String>) -> Answer {
@@ -114,13 +122,15 @@
     F: Future<Output = Answer>,
 {
     let mut buf = Vec::new();
+    let mut idle = IDLE;
     loop {
-        let (answer, close) = match read_request(&mut stream, &mut buf).await {
+        let (answer, close) = match read_request(&mut stream, &mut buf, idle).await {
             Ok(Some((request, close))) => (handler(request).await, close),
             Ok(None) => return,
             Err(answer) => (answer, true),
         };
         let close = close || answer.close;
+        idle = answer.idle.unwrap_or(IDLE).min(IDLE);
         let mut head = format!(
             "HTTP/1.1 {} {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n",
             answer.status,
@@ -197,12 +207,13 @@
 async fn read_request<S: AsyncRead + AsyncWrite + Unpin>(
     stream: &mut S,
     buf: &mut Vec<u8>,
+    idle: Duration,
 ) -> Result<Option<(Request, bool)>, Answer> {
     if buf.is_empty() {
         // An idle connection holds no buffer; memory is short and connections are many.
         *buf = Vec::new();
         let mut first = [0u8; 1024];
-        match timeout(IDLE, stream.read(&mut first)).await {
+        match timeout(idle, stream.read(&mut first)).await {
             Ok(Ok(n)) if n > 0 => buf.extend_from_slice(&first[..n]),
             _ => return Ok(None),
         }
@@ -268,6 +279,22 @@
         assert!(out.contains("{\"bytes\":3,\"path\":\"/b\"}"), "{out}");
     }
 
+    /// After a cut dead connections of workers that had come back lay for 75 s on sockets.
+    #[tokio::test(start_paused = true)]
+    async fn an_answer_may_shorten_how_long_its_connection_stands_idle() {
+        for (idle, least, most) in [(None, 74, 76), (Some(24), 23, 25), (Some(900), 74, 76)] {
+            let (mut near, far) = tokio::io::duplex(1024);
+            near.write_all(b"GET / HTTP/1.1\r\n\r\n").await.expect("write");
+            let before = tokio::time::Instant::now();
+            connection(far, |_| async move {
+                Answer { idle: idle.map(Duration::from_secs), ..Answer::error(200, "") }
+            })
+            .await;
+            let stood = before.elapsed().as_secs();
+            assert!((least..=most).contains(&stood), "{idle:?}: {stood} s");
+        }
+    }
+
     #[tokio::test(start_paused = true)]
     async fn heads_and_bodies_that_are_wrong_get_a_specific_answer() {
         let long = format!("GET /{} HTTP/1.1\r\n", "x".repeat(9000));
--- a/crates/walnutlug/src/node.rs
+++ b/crates/walnutlug/src/node.rs
@@ -37,9 +37,14 @@
 
 /// How long an address that another node told is worth asking at.
 const ADDRESS_FRESH: Duration = Duration::from_secs(20);
-/// Frames of addresses told in one second: a large fleet is told in turns.
-const ADDRESS_FRAMES: usize = 2;
-const MOST_ADDRESSES: usize = 2_000;
+/// Seconds in which all machines are told once, one frame a second at least: well within the time for
+/// which an address counts as fresh, at any size.
+const ADDRESS_TURN: usize = 6;
+/// Addresses remembered: many times those of any fleet, at some forty bytes each.
+const MOST_ADDRESSES: usize = 50_000;
+/// Messages that wait for another node: a status, some addresses and the progress of every open job
+/// each second. What finds no place is only a hint lost.
+const PEER_QUEUE: usize = 2_048;
 
 /// What another node last said of itself.
 struct PeerState {
@@ -87,6 +92,8 @@
     lease_until: Cell<Instant>,
     /// Connections from users and workers.
     open: Rc<Cell<u32>>,
+    /// Workers whose connection was closed to leave room for users, since it was told last.
+    let_go: Cell<u32>,
     /// Tells this life of the node from its former ones.
     life: u64,
     statuses: Cell<u64>,
@@ -139,6 +146,7 @@
             stale_told: Cell::new(false),
             lease_until: Cell::new(Instant::now()),
             open: Rc::default(),
+            let_go: Cell::new(0),
             life: SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64),
             statuses: Cell::new(0),
             settings,
@@ -304,7 +312,7 @@
     let mut peer_queues = Vec::new();
     for peer in &settings.peers {
         debug!(peer = %peer.name, "peer");
-        let (queue, rx) = mpsc::channel(256);
+        let (queue, rx) = mpsc::channel(PEER_QUEUE);
         peer_queues.push(queue);
         tokio::task::spawn_local(peers::talk(peer.addr, rx));
     }
@@ -335,8 +343,12 @@
             "POST" => {
                 let mut answer = workers::hello(&node, &request.body);
                 // Workers find their way back with the next report; a user may not find a socket.
-                answer.close |=
-                    node.open.get() > Sockets::share(node.settings.fd_limit).workers_kept;
+                if node.open.get() > Sockets::share(node.settings.fd_limit).workers_kept {
+                    answer.close = true;
+                    node.let_go.set(node.let_go.get() + 1);
+                }
+                // Silent for longer than its lease, a worker has begun anew on another connection.
+                answer.idle = Some(Duration::from_micros(node.site.lease.0));
                 answer
             }
             _ => Answer::error(405, "use POST"),
@@ -459,7 +471,7 @@
         .filter(|(n, &ix)| **n > *told && s.machines[ix as usize].state == MachineState::Up)
         .collect();
     names.sort_unstable();
-    let most = ADDRESS_FRAMES * peers::MOST_MACHINES;
+    let most = s.by_name.len().div_ceil(ADDRESS_TURN).max(peers::MOST_MACHINES);
     *told = match names.get(most) {
         Some(_) => names[most - 1].0.clone(),
         None => String::new(),
@@ -477,6 +489,14 @@
 async fn tell_times(node: Rc<Node>) {
     loop {
         sleep(Duration::from_secs(60)).await;
+        let let_go = node.let_go.replace(0);
+        if let_go > 0 {
+            warn!(
+                reports = let_go,
+                open = node.open.get(),
+                "more workers than sockets: their connections are closed after each report"
+            );
+        }
         let mut times = node.submit_times.borrow_mut();
         if !times.is_empty() {
             info!(
--- a/crates/walnutlug/src/peers.rs
+++ b/crates/walnutlug/src/peers.rs
@@ -23,7 +23,7 @@
 const MOST: usize = 4096;
 const MOST_WRITE: usize = 32 * 1024;
 /// Connections from peers at once, with room for stale ones.
-const MOST_OPEN: u32 = 64;
+pub const MOST_OPEN: u32 = 64;
 
 #[derive(FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned, Clone, Copy)]
 #[repr(C)]
--- a/crates/walnutlug/src/settings.rs
+++ b/crates/walnutlug/src/settings.rs
@@ -30,9 +30,16 @@
     pub fd_limit: u32,
 }
 
-/// How a node's sockets are shared out, so that users always find one. Workers keep connections
-/// open, one each, and a leader opens one to each of hundreds of machines: without shares they could
-/// take them all.
+/// How a node's sockets are shared out. One node leads, so all workers may keep a connection to it,
+/// and it sends to all of them: without shares either could take every socket. Shares count what is
+/// needed of a limit `L` at the size that the platform plans for (a fleet of up to 0.62 L machines):
+///
+/// | who | part of L |
+/// | --- | --- |
+/// | workers' own connections, kept open | 64% |
+/// | users, probes, and workers beyond that for one report each | 12% |
+/// | requests of this node: messages to workers 11%, the rest state, cloud and idle connections | 16% |
+/// | other nodes, listeners, connections that are closing | 8% |
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Sockets {
     /// Most connections from users and workers.
@@ -50,10 +57,10 @@
     pub fn share(limit: u32) -> Sockets {
         let part = |percent: u32| (u64::from(limit) * u64::from(percent) / 100) as u32;
         Sockets {
-            inbound: part(68),
-            workers_kept: part(52),
-            outbound: part(22),
-            messages: part(15).max(4),
+            inbound: part(76),
+            workers_kept: part(64),
+            outbound: part(16),
+            messages: part(11).max(4),
         }
     }
 }
@@ -298,14 +305,19 @@
 
     #[test]
     fn the_shares_of_the_sockets_leave_room_for_users_at_any_size() {
-        for limit in [32, 256, 1_200, 2_000, 65_536] {
+        for limit in [32, 256, 1_200, 2_000, 3_312, 65_536] {
             let s = Sockets::share(limit);
             assert!(s.inbound + s.outbound < limit, "{s:?}");
             assert!(s.workers_kept < s.inbound && s.messages < s.outbound, "{s:?}");
         }
-        // The grown fleets' workers keep their connections.
-        assert!(Sockets::share(1_200).workers_kept > 440 + 100);
-        assert!(Sockets::share(2_000).workers_kept > 795 + 100);
+        // The workers of fleets with half as many machines again keep their connections, beside the
+        // connections of users and, in full, of the other nodes.
+        for (limit, machines) in [(1_200, 660), (2_000, 1_193), (3_459, 1_962), (3_312, 2_063)] {
+            let s = Sockets::share(limit);
+            assert!(s.workers_kept > machines, "{limit}: {s:?}");
+            assert!(s.inbound - s.workers_kept > limit / 10, "{limit}: {s:?}");
+            assert!(s.inbound + s.outbound + crate::peers::MOST_OPEN < limit, "{limit}: {s:?}");
+        }
     }
 
     #[test]
--- a/crates/walnutlug/src/workers.rs
+++ b/crates/walnutlug/src/workers.rs
@@ -57,7 +57,7 @@
 
 fn accepted(token: u64, calls: Vec<Call>) -> Answer {
     match serde_json::to_vec(&ReportAnswer { token, calls }) {
-        Ok(body) => Answer { status: 200, body, retry_after: None, close: false },
+        Ok(body) => Answer { status: 200, body, retry_after: None, close: false, idle: None },
         Err(e) => Answer::error(503, e.to_string()),
     }
 }
