Zones unheard as a whole have the longer patience; a deaf leader rents and returns nothing

Ruled out: leases that ran out (none killed by lease), the state service. A leader of many machines finds itself deaf after one report interval without any, not two and a second.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -113,6 +113,9 @@
     }
 }
 
+/// From this many machines on, what they do together says something.
+const MANY: usize = 8;
+
 /// How long a machine that is said to be up is counted on without having answered.
 const ANSWER_WITHIN: Span = Span::secs(5);
 
@@ -138,8 +141,16 @@
         if !self.in_office {
             return;
         }
-        self.judge_machines(now);
+        let unheard = self.unheard_zones(now);
+        self.judge_machines(now, &unheard);
         self.evacuate(now);
+        let ours = |m: &crate::book::Machine| m.state == MachineState::Up && m.draining.is_none();
+        if !unheard.is_empty()
+            && self.machines.iter().all(|m| !ours(m) || unheard.contains(&m.zone))
+        {
+            // Nothing is heard of any: what there is, and what is lacking, can't be told from here.
+            return;
+        }
         // A new leader first hears what machines there are.
         if self.fleet.listed || now.since(self.started_at) > Span::secs(10) {
             self.rent(now);
@@ -149,18 +160,39 @@
     }
 
     /// Whether all of several machines that should report have been silent for a while: more
-    /// likely this node can't be reached than that all of them failed at once.
+    /// likely this node can't be reached than that all of them failed at once. Of many machines some
+    /// report at any moment, so that one interval without any is enough.
     pub fn deaf(&self, now: Time) -> bool {
-        let silence = self.site.report + self.site.report + Span::secs(1);
-        let mut up = self.machines.iter().filter(|m| m.state == MachineState::Up).peekable();
+        let up = || self.machines.iter().filter(|m| m.state == MachineState::Up);
+        let n = up().count();
+        let report = self.site.report;
+        let silence = if n >= MANY { report } else { report + report + Span::secs(1) };
         now.since(self.started_at) > silence
-            && up.peek().is_some()
-            && up.all(|m| {
+            && n > 0
+            && up().all(|m| {
                 let deaf = m.deaf_since.is_some_and(|t| now.since(t) > silence);
                 deaf || now.since(m.last_report) > silence
             })
     }
 
+    /// The zones whose machines are unheard as a whole: of many machines about half should have
+    /// reported within half an interval, and nearly none has. (The machines that happened to have
+    /// reported longest ago pass any patience first, when most of the others are not even due: one by
+    /// one a leader cut off from the workers gave back 500 of 800 before it gave way.)
+    fn unheard_zones(&self, now: Time) -> Vec<String> {
+        let half = self.site.report.scale(0.5);
+        let mut zones: std::collections::BTreeMap<&str, (usize, usize)> = Default::default();
+        let up = self.machines.iter().filter(|m| m.state == MachineState::Up);
+        for m in up.filter(|m| m.draining.is_none()) {
+            let (all, heard) = zones.entry(&m.zone).or_default();
+            *all += 1;
+            *heard += usize::from(now.since(m.last_report) <= half);
+        }
+        let unheard =
+            zones.into_iter().filter(|(_, (all, heard))| *all >= MANY && heard * 5 < *all);
+        unheard.map(|(zone, _)| zone.to_owned()).collect()
+    }
+
     /// Tells once a minute what the fleet's money went to.
     fn account(&mut self, now: Time) {
         let mut u = std::mem::take(&mut self.fleet.usage);
@@ -223,7 +255,7 @@
     }
 
     /// Marks machines that have to go: silent, overdue, slow, faulty.
-    fn judge_machines(&mut self, now: Time) {
+    fn judge_machines(&mut self, now: Time, unheard: &[String]) {
         let patience = self.patience();
         // One that is heard and doesn't hear has twice the patience: it may be the answer alone
         // that was late.
@@ -249,7 +281,8 @@
         let many = silent.len() > 3 && silent.len() * 2 > holding;
         for i in silent {
             let m = &mut self.machines[i];
-            if many && lost_for(m) < patience + patience + patience {
+            let together = many || unheard.contains(&m.zone);
+            if together && lost_for(m) < patience + patience + patience {
                 continue;
             }
             let silent = now.since(m.last_report) > patience;
--- a/crates/core/tests/starts.rs
+++ b/crates/core/tests/starts.rs
@@ -875,3 +875,52 @@
         w.leader.by_name.contains_key("x-002999") && !w.leader.by_name.contains_key("x-000001")
     );
 }
+
+/// A leader cut off from the workers gave back 500 of 800 machines, those that had reported longest ago
+/// first, before it found that it heard of none. A cut of one zone looks the same for that zone.
+#[test]
+fn a_zone_that_is_unheard_as_a_whole_is_not_given_back_one_by_one() {
+    for cut in [vec!["a"], vec!["a", "b"]] {
+        let names: Vec<(String, &str)> =
+            (0..40).map(|i| (format!("n-{i:03}"), if i % 2 == 0 { "a" } else { "b" })).collect();
+        let machines: Vec<(&str, &str)> = names.iter().map(|(n, z)| (n.as_str(), *z)).collect();
+        let mut w =
+            World::of(Site { report: Span::secs(5), lease: Span::secs(24), ..site() }, &machines);
+        // Work on every machine, and more of it than fits.
+        w.submit(JOB, &JobSpec { cpus: 8.0, estimate_s: 900.0, deadline_s: Some(1.0), ..spec(60) });
+        w.settle();
+        // Reports come one after the other, each machine's every five seconds.
+        let (mut given_back, mut rented, mut deaf_at) = (0, 0, None);
+        for step in 0..200 {
+            let (name, zone) = machines[step % 40];
+            let at_ms = step as u64 * 125;
+            if at_ms < 5_000 || !cut.contains(&zone) {
+                w.report(name);
+            }
+            w.wait(75);
+            w.tick();
+            w.leader.look_at_fleet(w.now);
+            if deaf_at.is_none() && w.leader.deaf(w.now) {
+                deaf_at = Some(at_ms);
+            }
+            w.commands.extend(w.leader.take_commands());
+            for command in std::mem::take(&mut w.commands) {
+                let cut_for = at_ms.saturating_sub(5_000);
+                match command {
+                    Command::Return { machines } => given_back += machines.len(),
+                    Command::Rent { count, .. } if cut_for > 3_000 => rented += count,
+                    _ => {}
+                }
+            }
+        }
+        assert_eq!(given_back, 0, "{cut:?}");
+        match cut.len() {
+            1 => assert_eq!(deaf_at, None),
+            _ => {
+                assert_eq!(rented, 0, "nothing is rented for what only isn't heard");
+                let at = deaf_at.expect("deaf at last");
+                assert!((9_000..11_000).contains(&at), "{at} ms");
+            }
+        }
+    }
+}
