Records tell when a task was placed: run times are known after a take-over

Ruled out: lost messages, leases. A record is five or so bytes longer, within what a chunk allows for.

--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -221,6 +221,8 @@
     pub site: std::rc::Rc<Site>,
     pub tun: std::rc::Rc<Tunables>,
     pub term: u64,
+    /// Stands for the unknown token of a start that an earlier term sent.
+    loaded_token: u64,
     /// By a number that is never used again, so that a late answer can't mean another job.
     pub jobs: BTreeMap<JobIx, Job>,
     pub(crate) next_job: JobIx,
@@ -277,6 +279,11 @@
     json!({"spec": spec, "at": accepted_wall_us, "chunk": chunk})
 }
 
+/// In what steps after the job's acceptance the time of a placing is stored.
+pub(crate) const PLACED_UNIT: Span = Span::millis(100);
+/// What a task that was placed needs at least until it runs: a write, a message, mostly an image.
+const START_TAKES: Span = Span::secs(1);
+
 /// Report intervals, each up to a quarter longer than told, after which a worker is overdue.
 pub const OVERDUE: f64 = 1.4;
 /// How long a machine that is gone is remembered, against late reports of it.
@@ -298,6 +305,7 @@
             site,
             tun,
             term,
+            loaded_token: token(term, 0) - 1,
             jobs: BTreeMap::new(),
             next_job: 0,
             by_ref: HashMap::new(),
@@ -441,9 +449,15 @@
         for (i, record) in records.iter().enumerate() {
             let index = base + i as u32;
             let Some(task) = job.tasks.get_mut(index as usize) else { break };
-            let Some((phase, attempt, machine, session)) = read_record(record) else { continue };
+            let Some((phase, attempt, machine, session, steps)) = read_record(record) else {
+                continue;
+            };
             task.attempt = attempt;
             task.since = now;
+            if let Some(steps) = steps {
+                let after = Span(steps.saturating_mul(PLACED_UNIT.0));
+                task.placed_at = (job.accepted + after).min(now);
+            }
             if phase == Phase::Done {
                 task.phase = Phase::Done;
                 job.recorded[index as usize] = true;
@@ -456,7 +470,7 @@
                 // Sent under an older term, so with a token below all of this one's. Only a worker
                 // that has seen this term refuses it for certain; a lower bar would take a report
                 // from before the old start's arrival for proof.
-                task.token = token(self.term, 0) - 1;
+                task.token = self.loaded_token;
                 placed.push((index, machine.to_owned()));
             }
         }
@@ -677,6 +691,23 @@
         }
     }
 
+    /// Whether the task was placed under an earlier term and hasn't been seen under this one.
+    pub(crate) fn placed_before(&self, task: &Task) -> bool {
+        task.phase == Phase::Dispatching && task.token == self.loaded_token
+    }
+
+    /// Since when a task runs that is seen running for the first time. One that an earlier leader
+    /// placed has run since then. (Counted from the take-over, run times were learned that were far
+    /// too short, every task that ran on looked slow beside them, and a fifth of a fleet without a
+    /// slow machine was drained.)
+    pub(crate) fn began(&self, now: Time, task: &Task) -> Time {
+        if self.placed_before(task) {
+            (task.placed_at + START_TAKES).min(now)
+        } else {
+            now
+        }
+    }
+
     /// Tells a task's machine to stop it; repeated with every report until it is gone.
     pub(crate) fn stop(&mut self, now: Time, id: TaskId, grace_s: f64) {
         let Some(job) = self.jobs.get(&id.0) else { return };
@@ -722,16 +753,20 @@
     }
 }
 
-fn read_record(record: &Value) -> Option<(Phase, u32, &str, u64)> {
+/// Phase, attempt, machine, session, and when it was placed, if the record tells.
+type Record<'a> = (Phase, u32, &'a str, u64, Option<u64>);
+
+fn read_record(record: &Value) -> Option<Record<'_>> {
     let items = match record {
-        Value::Number(_) => return Some((Phase::Pending, 1, "", 0)),
+        Value::Number(_) => return Some((Phase::Pending, 1, "", 0, None)),
         Value::Array(items) => items,
         _ => return None,
     };
     let phase = Phase::from_code(items.first()?.as_u64()?)?;
     let attempt = u32::try_from(items.get(1)?.as_u64()?).ok()?;
     if !phase.placed() {
-        return Some((phase, attempt, "", 0));
+        return Some((phase, attempt, "", 0, None));
     }
-    Some((phase, attempt, items.get(2)?.as_str()?, items.get(3)?.as_u64()?))
+    let placed = items.get(4).and_then(Value::as_u64);
+    Some((phase, attempt, items.get(2)?.as_str()?, items.get(3)?.as_u64()?, placed))
 }
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -1,6 +1,6 @@
 //! Rounds: what was decided is written before anything is sent, and sent once it is written.
 
-use crate::book::{Command, JobIx, MachineState, Outcome, Scheduler, TaskId};
+use crate::book::{Command, JobIx, MachineState, Outcome, Scheduler, TaskId, PLACED_UNIT};
 use crate::job::keys;
 use crate::task::{Input, MachineIx, Phase};
 use crate::time::{Span, Time};
@@ -204,7 +204,8 @@
                         batch.starts.push((ix, index));
                     }
                     let name = &self.machines[task.machine as usize].name;
-                    records.push(json!([phase.code(), task.attempt, name, task.session]));
+                    let placed = task.placed_at.since(job.accepted).0 / PLACED_UNIT.0;
+                    records.push(json!([phase.code(), task.attempt, name, task.session, placed]));
                 }
             }
         }
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -548,7 +548,16 @@
         let mut free = 0.0;
         for job in self.jobs.values().filter(|j| !self.is_quick(&j.spec.class)) {
             let run = self.expected_run(job);
-            let soon = job.started.values().filter(|&&t| run - now.since(t).as_secs() < boot);
+            let soon = job.tasks.iter().zip(0..).filter(|(t, index)| {
+                let since = match job.started.get(index) {
+                    Some(&since) => since,
+                    // Right after a take-over nothing has been seen running yet. (Taken for work
+                    // that frees nothing, it made a new leader rent three hundred dear machines.)
+                    None if self.placed_before(t) => self.began(now, t),
+                    None => return false,
+                };
+                t.phase.placed() && run - now.since(since).as_secs() < boot
+            });
             free += soon.count() as f64 * job.spec.cpus;
         }
         free
--- a/crates/core/src/receipts.rs
+++ b/crates/core/src/receipts.rs
@@ -298,8 +298,9 @@
                 Some(e) => {
                     if e.state == TaskStage::Running {
                         let image = job.spec.image.clone();
+                        let began = self.began(now, &task);
                         if let Some(job) = self.jobs.get_mut(&id.0) {
-                            let since = *job.started.entry(id.1).or_insert(now);
+                            let since = *job.started.entry(id.1).or_insert(began);
                             job.begun |= now.since(since) >= BEGUN_AFTER;
                         }
                         self.has_image(m, image);
--- a/crates/core/src/task.rs
+++ b/crates/core/src/task.rs
@@ -75,6 +75,9 @@
     pub token: u64,
     /// When the phase was entered.
     pub since: Time,
+    /// When it was placed where it is, by whichever leader did. Stored, so that a new leader knows
+    /// about how long a task has run that it first sees running.
+    pub placed_at: Time,
 }
 
 /// What can happen to a task.
@@ -100,7 +103,15 @@
 
 impl Task {
     pub fn new(now: Time) -> Task {
-        Task { phase: Phase::Pending, attempt: 1, machine: 0, session: 0, token: 0, since: now }
+        Task {
+            phase: Phase::Pending,
+            attempt: 1,
+            machine: 0,
+            session: 0,
+            token: 0,
+            since: now,
+            placed_at: now,
+        }
     }
 
     /// Makes the change that `input` asks for, if the state allows it. A finish is final, and
@@ -113,6 +124,7 @@
                 self.machine = machine;
                 self.session = session;
                 self.token = 0;
+                self.placed_at = now;
                 P::Dispatching
             }
             // Only a start that was never sent may go back under the same attempt.
--- a/crates/core/tests/starts.rs
+++ b/crates/core/tests/starts.rs
@@ -924,3 +924,44 @@
         }
     }
 }
+
+/// Counted from the take-over, run times were learned far too short, all that ran on looked slow beside
+/// them, and a fifth of a fleet without a slow machine was drained.
+#[test]
+fn a_new_leader_knows_for_how_long_tasks_have_run() {
+    let mut w = World::new(&[("n-1", "a"), ("n-2", "a"), ("n-3", "a"), ("n-4", "b")]);
+    w.submit(JOB, &JobSpec { cpus: 4.0, estimate_s: 100.0, deadline_s: Some(900.0), ..spec(8) });
+    w.settle();
+    w.all_report();
+    let keep_running = |w: &mut World, seconds: u64| {
+        for _ in 0..seconds {
+            w.wait(950);
+            w.settle();
+            w.all_report();
+            w.leader.look_at_fleet(w.now);
+            w.commands.extend(w.leader.take_commands());
+        }
+    };
+    keep_running(&mut w, 40);
+    w.take_over();
+    w.settle();
+    w.all_report();
+    keep_running(&mut w, 3);
+    // Three are done after some 80 s (a settling takes a second too), the others run on.
+    let tasks: Vec<(String, String)> = w
+        .workers
+        .values()
+        .flat_map(|k| k.tasks.keys().map(|t| (k.name.clone(), t.0.clone())))
+        .take(3)
+        .collect();
+    for (machine, task) in tasks {
+        w.finish(&machine, &task);
+    }
+    keep_running(&mut w, 8);
+    let ix = w.leader.by_ref[JOB];
+    let job = w.leader.job(ix).expect("the job");
+    let ran = job.run_times.0 / f64::from(job.run_times.1.max(1));
+    assert_eq!(job.run_times.1, 3);
+    assert!((75.0..100.0).contains(&ran), "ran {ran} s");
+    assert!(w.leader.machines.iter().all(|m| m.draining != Some("slow")), "none is slow");
+}
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -13,6 +13,8 @@
 use walnutlug_core::tunables::{Site, Tunables};
 use walnutlug_core::wire::{Call, Cause, Change, MachineType, Report, TaskReport, TaskStage, Txn};
 
+/// The test's clock at its start, and the time of day then.
+const START: u64 = 1 << 40;
 pub const WALL: u64 = 1_700_000_000_000_000;
 
 #[derive(Debug, Default)]
@@ -242,7 +244,7 @@
     pub fn of(site: Site, machines: &[(&str, &str)]) -> World {
         let mut store = Store::default();
         let term = store.put(keys::LEADER, json!("first"));
-        let now = Time(1 << 40);
+        let now = Time(START);
         let workers = machines.iter().map(|(n, z)| ((*n).to_owned(), Worker::new(n, z))).collect();
         let leader =
             Scheduler::new(Rc::new(site), Rc::new(Tunables::default()), term, types(), now);
@@ -253,10 +255,15 @@
     }
 
     pub fn submit(&mut self, name: &str, spec: &JobSpec) {
-        let value = todo_value(spec, WALL, chunk_size(site().value_bytes));
+        let value = todo_value(spec, self.wall_us(), chunk_size(site().value_bytes));
         self.store.put(&keys::job(name), json!(1));
         self.store.put(&keys::todo(name), value.clone());
-        self.leader.add_job(self.now, name, &value, WALL);
+        let wall = self.wall_us();
+        self.leader.add_job(self.now, name, &value, wall);
+    }
+
+    fn wall_us(&self) -> u64 {
+        WALL + (self.now.0 - START)
     }
 
     pub fn wait(&mut self, ms: u64) {
@@ -367,7 +374,7 @@
             Scheduler::new(Rc::new(site()), Rc::new(Tunables::default()), term, types(), self.now);
         for (key, (value, mark)) in &self.store.keys {
             if let Some(name) = key.strip_prefix(keys::TODO) {
-                s.add_job(self.now, name, value, WALL);
+                s.add_job(self.now, name, value, self.wall_us());
                 let _ = mark;
             }
         }
