--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -51,6 +51,18 @@
     Unbegun,
 }
 
+/// How well a machine suits a job; what comes first here counts first, and the larger is the better.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Fitness {
+    /// Of the kind, spot or ordinary, that work like the job's is kept to where both cost about the same.
+    safe: bool,
+    /// Has the image, for a class with an aim on starting.
+    ready: bool,
+    /// In quarters of the machine.
+    fullness: i64,
+    image: bool,
+}
+
 impl Urgency {
     pub fn order(&self, other: &Urgency) -> Ordering {
         other
@@ -235,8 +247,14 @@
     /// until it is full: one look serves all tasks of the job.
     fn candidates(&self, job: &Job, open: &[MachineIx]) -> Vec<MachineIx> {
         // Where the aim on starting leaves no time for a fetch, the image comes before fullness.
-        let quick = self.site.wait_aim(&job.spec.class).is_some();
-        let mut found: Vec<((i64, i64, f64), MachineIx)> = Vec::new();
+        let waits = self.site.wait_aim(&job.spec.class).is_some();
+        // Where ordinary machines cost little more than spot ones they are there anyway, and what is
+        // pressed for time goes to them: of a job of many tasks nearly always one is on a spot machine
+        // that the cloud takes, and the job is late by all that this task had run. What has more time
+        // leaves them free.
+        let lean = self.ordinary_is_cheap();
+        let quick = self.is_quick(&job.spec.class);
+        let mut found: Vec<(Fitness, f64, MachineIx)> = Vec::new();
         for &ix in open {
             let m = &self.machines[ix as usize];
             if !self.fits(job, m) {
@@ -244,16 +262,18 @@
             }
             let Some(kind) = m.kind.and_then(|k| self.types.get(k)) else { continue };
             let left = (kind.cpus - m.cpus).max(0.0) / kind.cpus.max(SLACK);
-            let has_image = m.images.contains(&job.spec.image);
-            let ahead = if quick && has_image { 100 } else { 0 };
-            let fullness = ahead - ((left * 4.0).ceil() as i64);
+            let image = m.images.contains(&job.spec.image);
+            let fitness = Fitness {
+                safe: lean && m.spot != quick,
+                ready: waits && image,
+                fullness: -((left * 4.0).ceil() as i64),
+                image,
+            };
             let price = if m.spot { kind.spot_price } else { kind.price } / kind.cpus.max(SLACK);
-            found.push(((fullness, i64::from(has_image), -price), ix));
+            found.push((fitness, price, ix));
         }
-        found.sort_by(|(a, x), (b, y)| {
-            (b.0, b.1).cmp(&(a.0, a.1)).then(b.2.total_cmp(&a.2)).then(x.cmp(y))
-        });
-        found.into_iter().map(|f| f.1).collect()
+        found.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
+        found.into_iter().map(|f| f.2).collect()
     }
 
     /// For a job whose tasks must share a zone: the zone with most room for it, while none of it
--- a/crates/core/tests/starts.rs
+++ b/crates/core/tests/starts.rs
@@ -9,7 +9,7 @@
 use walnutlug_core::time::Span;
 use walnutlug_core::tunables::Site;
 use walnutlug_core::wire::{Call, ListedMachine, MachineStage};
-use world::{site, spec, World};
+use world::{site, spec, types, World};
 
 const JOB: &str = "req-000001";
 
@@ -965,3 +965,30 @@
     assert!((75.0..100.0).contains(&ran), "ran {ran} s");
     assert!(w.leader.machines.iter().all(|m| m.draining != Some("slow")), "none is slow");
 }
+
+/// Jobs of many short, pressed tasks were late whenever the cloud took one spot machine of many.
+#[test]
+fn pressed_work_goes_to_ordinary_machines_where_they_cost_little_more() {
+    use walnutlug_core::tunables::Objective;
+    for (price, apart) in [(0.5, true), (3.0, false)] {
+        let quick = Objective::Wait { class: "quick".into(), within: Span::secs(3) };
+        let site = Site { objectives: vec![quick], ..site() };
+        let mut w = World::of(site, &[("n-1", "a"), ("n-2", "a")]);
+        w.leader.set_types(vec![walnutlug_core::wire::MachineType { price, ..types().remove(0) }]);
+        w.leader.machines[0].spot = true;
+        w.submit("req-000001", &spec(1));
+        w.submit("req-000002", &JobSpec { class: "quick".into(), ..spec(1) });
+        w.settle();
+        let places = w.places();
+        if apart {
+            assert_eq!(
+                places["req-000001/0"],
+                ["n-1"],
+                "what has time leaves the ordinary one free"
+            );
+            assert_eq!(places["req-000002/0"], ["n-2"]);
+        } else {
+            assert_eq!(places["req-000001/0"], places["req-000002/0"], "the fullest");
+        }
+    }
+}
