--- /dev/null
+++ b/crates/core/src/health.rs
@@ -0,0 +1,184 @@
+//! Which machines are well: silent, deaf, overdue, slow or about to be taken, each alone and all together.
+
+use crate::book::{MachineState, Scheduler, OVERDUE};
+use crate::task::Phase;
+use crate::time::{Span, Time};
+
+/// From this many machines on, what they do together says something.
+const MANY: usize = 8;
+
+/// The part of a notice's time that is counted on.
+const NOTICE_TRUST: f64 = 0.75;
+
+impl Scheduler {
+    /// Whether all of several machines that should report have been silent for a while: more
+    /// likely this node can't be reached than that all of them failed at once. Of many machines some
+    /// report at any moment, so that one interval without any is enough.
+    pub fn deaf(&self, now: Time) -> bool {
+        let up = || self.machines.iter().filter(|m| m.state == MachineState::Up);
+        let n = up().count();
+        let report = self.site.report;
+        let silence = if n >= MANY { report } else { report + report + Span::secs(1) };
+        now.since(self.started_at) > silence
+            && n > 0
+            && up().all(|m| {
+                let deaf = m.deaf_since.is_some_and(|t| now.since(t) > silence);
+                deaf || now.since(m.last_report) > silence
+            })
+    }
+
+    /// The zones whose machines are unheard as a whole: of many machines about half should have
+    /// reported within half an interval, and nearly none has. (The machines that happened to have
+    /// reported longest ago pass any patience first, when most of the others are not even due: one by
+    /// one a leader cut off from the workers gave back 500 of 800 before it gave way.)
+    pub(crate) fn unheard_zones(&self, now: Time) -> Vec<String> {
+        let half = self.site.report.scale(0.5);
+        let mut zones: std::collections::BTreeMap<&str, (usize, usize)> = Default::default();
+        let up = self.machines.iter().filter(|m| m.state == MachineState::Up);
+        for m in up.filter(|m| m.draining.is_none()) {
+            let (all, heard) = zones.entry(&m.zone).or_default();
+            *all += 1;
+            *heard += usize::from(now.since(m.last_report) <= half);
+        }
+        let unheard =
+            zones.into_iter().filter(|(_, (all, heard))| *all >= MANY && heard * 5 < *all);
+        unheard.map(|(zone, _)| zone.to_owned()).collect()
+    }
+
+    /// Silence after which a machine is given up: its report is overdue, it was asked directly and
+    /// has had the time to answer. (Counted in seconds that suited reports every three, every
+    /// machine whose reports came six seconds apart was given back as soon as one was a bit late.)
+    pub(crate) fn patience(&self) -> Span {
+        self.site.report.scale(OVERDUE) + self.tun.patience
+    }
+
+    /// Marks machines that have to go: silent, overdue, slow, faulty.
+    pub(crate) fn judge_machines(&mut self, now: Time, unheard: &[String]) {
+        let patience = self.patience();
+        // One that is heard and doesn't hear has twice the patience: it may be the answer alone
+        // that was late.
+        let lost_for = |m: &crate::book::Machine| {
+            let deaf = m.deaf_since.map_or(Span::ZERO, |t| Span(now.since(t).0 / 2));
+            now.since(m.last_report).max(deaf)
+        };
+        let holding = self
+            .machines
+            .iter()
+            .filter(|m| m.state == MachineState::Up && m.draining.is_none())
+            .count();
+        let silent: Vec<usize> = (0..self.machines.len())
+            .filter(|&i| {
+                let m = &self.machines[i];
+                let waits = m.state == MachineState::Up
+                    || (m.state == MachineState::Booting && !m.tasks.is_empty());
+                waits && m.draining.is_none() && lost_for(m) > patience
+            })
+            .collect();
+        // When most of the fleet is silent at once, the trouble is more likely between here and
+        // there than on every machine: wait longer before giving so much work up.
+        let many = silent.len() > 3 && silent.len() * 2 > holding;
+        for i in silent {
+            let m = &mut self.machines[i];
+            let together = many || unheard.contains(&m.zone);
+            if together && lost_for(m) < patience + patience + patience {
+                continue;
+            }
+            let silent = now.since(m.last_report) > patience;
+            m.draining = Some(if silent { "silent" } else { "deaf" });
+            let what = if silent {
+                "has been silent too long"
+            } else {
+                "reports, but nothing sent to it arrives"
+            };
+            let text = format!("{} {what}: given back", m.name);
+            self.note(text);
+        }
+        for i in 0..self.machines.len() {
+            let m = &self.machines[i];
+            if m.state == MachineState::Booting && m.tasks.is_empty() && m.draining.is_none() {
+                let boot = m.kind.and_then(|k| self.types.get(k)).map_or(60.0, |k| k.boot_s);
+                let limit = Span::from_secs(boot.max(5.0) * self.tun.boot_patience);
+                // A new leader hears of machines that came up long ago, and has to give each the
+                // time to answer it. (By their age alone, each take-over gave back every machine
+                // that was idle and hadn't reported within its first second: a third of the fleet.)
+                let asked = match m.said_up {
+                    Some(since) => now.since(since) > patience + patience + patience,
+                    None => now.since(m.last_report) > patience + patience,
+                };
+                if now.since(m.rented) > limit && asked {
+                    self.machines[i].draining = Some("never came up");
+                    let text = format!("{} never came up: given back", self.machines[i].name);
+                    self.note(text);
+                }
+            }
+        }
+        self.mark_slow(now);
+    }
+
+    /// Stops what won't be done on a machine before the cloud takes it, where it can run elsewhere:
+    /// left alone, it would lose the rest of the notice as well, and the time until the machine is
+    /// found to be gone. What has a good chance to complete, or nowhere to go, runs on.
+    pub(crate) fn evacuate(&mut self, now: Time) {
+        if !self.machines.iter().any(|m| m.notice.is_some() && !m.tasks.is_empty()) {
+            return;
+        }
+        let mut room: f64 = self
+            .machines
+            .iter()
+            .filter(|m| self.open_for_work(now, m))
+            .filter_map(|m| Some((self.types.get(m.kind?)?.cpus - m.cpus).max(0.0)))
+            .sum();
+        let mut leave = Vec::new();
+        for m in self.machines.iter().filter(|m| m.state == MachineState::Up) {
+            let Some(notice) = m.notice else { continue };
+            // It may come at half the time told.
+            let left = notice.since(now).as_secs() * NOTICE_TRUST;
+            for &id in &m.tasks {
+                let Some(job) = self.job(id.0) else { continue };
+                let task = &job.tasks[id.1 as usize];
+                let started = job.started.get(&id.1);
+                let ran = started.map_or(0.0, |&t| now.since(t).as_secs());
+                let sent = task.token != 0 && task.phase != Phase::Stopping;
+                if !sent || ran + left >= self.expected_run(job) || room < job.spec.cpus {
+                    continue;
+                }
+                room -= job.spec.cpus;
+                leave.push((id, crate::book::grace_of(&job.spec)));
+            }
+        }
+        for (id, grace) in leave {
+            self.stop(now, id, grace);
+        }
+    }
+
+    /// A machine on which tasks run far longer than their siblings elsewhere is drained.
+    fn mark_slow(&mut self, now: Time) {
+        let mut slow = Vec::new();
+        for (i, m) in self.machines.iter().enumerate() {
+            if m.state != MachineState::Up || m.draining.is_some() {
+                continue;
+            }
+            let late = m
+                .tasks
+                .iter()
+                .filter(|id| {
+                    self.job(id.0).is_some_and(|j| {
+                        let Some(&t) = j.started.get(&id.1) else { return false };
+                        j.run_times.1 >= 3
+                            && now.since(t).as_secs()
+                                > self.tun.slow_factor * j.run_times.0 / f64::from(j.run_times.1)
+                                    + 5.0
+                    })
+                })
+                .count();
+            if late >= 1 && late * 2 >= m.tasks.len() {
+                slow.push(i);
+            }
+        }
+        for i in slow {
+            self.machines[i].draining = Some("slow");
+            let text = format!("{} runs its tasks slowly: drained", self.machines[i].name);
+            self.note(text);
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod book;
 pub mod dispatch;
 pub mod fleet;
+pub mod health;
 pub mod job;
 pub mod leadership;
 pub mod placement;
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -196,6 +196,10 @@
     }
 }
 
+pub fn one_machine() -> World {
+    World::new(&[("n-1", "a")])
+}
+
 pub fn site() -> Site {
     Site {
         teams: vec![
--- /dev/null
+++ b/crates/walnutlug/src/node/lead.rs
@@ -0,0 +1,614 @@
+//! A node's time as the leader: election, the lease, reading the records, and the loop in which the core
+//! decides. All of it ends with the term.
+
+use std::rc::Rc;
+
+use tokio::time::{sleep, timeout, Duration, Instant};
+use tracing::{debug, info, warn};
+use walnutlug_core::book::{Command, Outcome, Scheduler};
+use walnutlug_core::job::{keys, End};
+use walnutlug_core::leadership::{Input, Role};
+use walnutlug_core::time::{Span, Time};
+use walnutlug_core::wire::{Change, Guard, RentRequest, Txn, WatchEvent};
+
+use super::{Node, ADDRESS_FRESH};
+use crate::cloud::CloudError;
+use crate::state::{leader_value, Class, State, StateError};
+use crate::workers;
+
+/// How long a leader that gave way leaves the lead to others.
+const ASIDE: Span = Span::secs(15);
+
+/// How often a leader reads again what there is to do.
+const RECONCILE_EVERY: Duration = Duration::from_secs(20);
+
+pub(super) async fn election(node: Rc<Node>) {
+    loop {
+        match node.state.get(Class::Leadership, keys::LEADER).await {
+            Ok(Some(pair)) => {
+                node.ready_once.set(true);
+                let name = pair.value["node"].as_str().unwrap_or_default().to_owned();
+                let own = pair.value["inc"].as_str() == Some(node.incarnation.as_str());
+                if own {
+                    // Its lease is not held any more (an answer was lost): it will run out.
+                    sleep(Duration::from_millis(300)).await;
+                    continue;
+                }
+                if name == node.settings.node_name {
+                    end_former_lead(&node, &pair).await;
+                }
+                node.learn_keeper(&name, pair.mark);
+                let hold = Duration::from_secs(10);
+                match node.state.watch(Class::Leadership, keys::LEADER, pair.mark, hold).await {
+                    Ok(w) => {
+                        let vacant = w.events.iter().any(
+                            |e| matches!(e, WatchEvent::Drop { drop, .. } if drop == keys::LEADER),
+                        );
+                        if vacant {
+                            info!("the leader key is gone");
+                            node.forget_keeper(pair.mark);
+                        }
+                    }
+                    Err(_) => sleep(Duration::from_millis(300)).await,
+                }
+            }
+            Ok(None) => {
+                node.ready_once.set(true);
+                let now = node.now();
+                if node.leadership.borrow_mut().step(now, Input::Vacant) {
+                    stand(&node).await;
+                } else {
+                    sleep(Duration::from_millis(200)).await;
+                }
+            }
+            Err(_) => sleep(Duration::from_millis(rand::random_range(250..400))).await,
+        }
+    }
+}
+
+/// The key names this node, but not this life of it: the process ended while it led, and came back
+/// before its lease ran out. Nobody leads, so the lease is ended at once. Were the former self
+/// alive against all order, its writes would fail, and nothing worse.
+async fn end_former_lead(node: &Node, pair: &walnutlug_core::wire::Pair) {
+    if let Some(lease) = pair.value["lease"].as_u64() {
+        info!(term = pair.mark, "this node led when it ended: its lease is given up");
+        let _ = node.state.release(lease).await;
+    }
+}
+
+async fn stand(node: &Rc<Node>) {
+    let ttl = Duration::from_micros(node.tunables.leader_lease.0);
+    let lost = |input| {
+        node.leadership.borrow_mut().step(node.now(), input);
+    };
+    let Ok(lease) = node.state.lease(ttl).await else {
+        lost(Input::Failed);
+        sleep(Duration::from_millis(rand::random_range(50..200))).await;
+        return;
+    };
+    let touched = Instant::now();
+    node.lease_until.set(touched + ttl);
+    let value = leader_value(&node.settings.node_name, &node.incarnation, lease);
+    let txn = Txn {
+        guards: vec![Guard { key: keys::LEADER.into(), mark: 0 }],
+        apply: vec![Change::Put { put: keys::LEADER.into(), value, lease: Some(lease) }],
+    };
+    let term = create_leader_key(&node.state, &txn, &node.incarnation).await;
+    let Some(term) = term else {
+        // Ending the lease ends whatever a late copy of the transaction might yet create.
+        let _ = node.state.release(lease).await;
+        lost(Input::Failed);
+        return;
+    };
+    if !node.leadership.borrow_mut().step(node.now(), Input::Won { term }) {
+        return;
+    }
+    info!(term, "elected");
+    node.state.lead(true);
+    node.learn_keeper(&node.settings.node_name, term);
+    lead(node, term, lease, touched).await;
+    let _ = timeout(Duration::from_millis(500), node.state.release(lease)).await;
+}
+
+/// Creates the key, and tells the term if this node did. If only the answer was lost, the key holds
+/// this node's own incarnation.
+async fn create_leader_key(state: &State, txn: &Txn, incarnation: &str) -> Option<u64> {
+    match state.commit(Class::Leadership, txn).await {
+        Outcome::Committed { mark } => Some(mark),
+        Outcome::Conflict { .. } | Outcome::Lost => {
+            match state.get(Class::Leadership, keys::LEADER).await {
+                Ok(Some(p)) if p.value["inc"].as_str() == Some(incarnation) => Some(p.mark),
+                _ => None,
+            }
+        }
+        Outcome::Refused => None,
+    }
+}
+
+/// Everything that a leader does, until it is one no more.
+async fn lead(node: &Rc<Node>, term: u64, lease: u64, touched: Instant) {
+    let mut children = Vec::new();
+    let lease_node = node.clone();
+    children.push(tokio::task::spawn_local(async move {
+        keep_lease(&lease_node, lease, touched).await;
+    }));
+    let over = node.step_down.notified();
+    let work = async {
+        if let Err(e) = load(node, term).await {
+            node.give_up_lead(&format!("the records can't be read: {e}"));
+            return;
+        }
+        decide(node, term).await;
+    };
+    tokio::select! {
+        _ = over => {}
+        _ = work => {}
+    }
+    node.give_up_lead("the term is over");
+    for child in children {
+        child.abort();
+    }
+}
+
+async fn keep_lease(node: &Rc<Node>, lease: u64, mut touched: Instant) {
+    let ttl = Duration::from_micros(node.tunables.leader_lease.0);
+    loop {
+        tokio::time::sleep_until(touched + ttl.mul_f64(0.28)).await;
+        let sent = Instant::now();
+        match node.state.touch(lease).await {
+            Ok(()) => {
+                touched = sent;
+                node.lease_until.set(sent + ttl);
+            }
+            Err(StateError::Gone) => {
+                node.give_up_lead("the lease ran out");
+                return;
+            }
+            Err(e) => {
+                debug!("lease not renewed: {e}");
+                // In an outage the lease gets its full time again, so the leader stays and goes
+                // on answering its workers; what it may not do any more the state service and
+                // the workers' tokens refuse.
+                touched = sent - ttl.mul_f64(0.28) + Duration::from_millis(150);
+            }
+        }
+    }
+}
+
+/// Reads the records of the term before, whole, before anything is decided.
+async fn load(node: &Rc<Node>, term: u64) -> Result<(), StateError> {
+    let began = Instant::now();
+    if node.types.borrow().is_empty() {
+        node.read_types().await;
+    }
+    let mut s = Scheduler::new(
+        node.site.clone(),
+        node.tunables.clone(),
+        term,
+        node.types.borrow().clone(),
+        node.now(),
+    );
+    let (todo, growth) = retry(node, keys::TODO).await?;
+    let (runs, _) = retry(node, keys::RUN).await?;
+    let (now, wall) = (node.now(), node.wall_us());
+    for pair in &todo {
+        if let Some(name) = pair.key.strip_prefix(keys::TODO) {
+            s.add_job(now, name, &pair.value, wall);
+        }
+    }
+    for pair in &runs {
+        if !s.load_chunk(now, &pair.key, &pair.value, pair.mark) {
+            // Descriptions are dropped last, so this is damage from outside. Whatever it places is
+            // strange to the book and will be stopped where it reports.
+            warn!("stored {} belongs to no job and is passed over", pair.key);
+        }
+    }
+    let open: Vec<String> = s.by_ref.keys().cloned().collect();
+    loop {
+        match ended_of(node, open.clone()).await {
+            Ok(ended) => {
+                for name in &ended {
+                    s.job_over(now, name);
+                }
+                break;
+            }
+            Err(StateError::Bad) => return Err(StateError::Bad),
+            Err(_) => sleep(Duration::from_millis(200)).await,
+        }
+    }
+    for (name, (address, heard)) in node.addresses.borrow().iter() {
+        if heard.elapsed() < ADDRESS_FRESH {
+            s.hint_address(now, name, &address.to_string());
+        }
+    }
+    let placed: usize = s.machines.iter().map(|m| m.tasks.len()).sum();
+    info!(
+        term,
+        jobs = s.by_ref.len(),
+        placed,
+        ms = began.elapsed().as_millis() as u64,
+        "records read: leading"
+    );
+    install(node, s);
+    if !node.leadership.borrow_mut().step(node.now(), Input::Loaded { term }) {
+        return Err(StateError::Gone);
+    }
+    for prefix in [keys::TODO, keys::END] {
+        tokio::task::spawn_local(watch(node.clone(), term, prefix, growth));
+    }
+    tokio::task::spawn_local(list_machines(node.clone(), term));
+    tokio::task::spawn_local(reconcile(node.clone(), term));
+    Ok(())
+}
+
+/// Which of the jobs have ended, by comparing: the ends of all jobs ever are never listed.
+async fn ended_of(node: &Node, mut open: Vec<String>) -> Result<Vec<String>, StateError> {
+    let most = (node.site.txn_ops * 4).min(200);
+    let mut found = Vec::new();
+    while !open.is_empty() {
+        let batch = &open[open.len().saturating_sub(most)..];
+        let txn = Txn {
+            guards: batch.iter().map(|n| Guard { key: keys::end(n), mark: 0 }).collect(),
+            apply: Vec::new(),
+        };
+        let keep = open.len() - batch.len();
+        match node.state.commit(Class::Dispatch, &txn).await {
+            Outcome::Committed { .. } => open.truncate(keep),
+            Outcome::Conflict { failed } => {
+                let before = open.len();
+                open.retain(|n| !failed.contains(&keys::end(n)));
+                if open.len() == before {
+                    return Err(StateError::Bad);
+                }
+                found.extend(
+                    failed.iter().filter_map(|k| k.strip_prefix(keys::END)).map(str::to_owned),
+                );
+            }
+            Outcome::Refused => return Err(StateError::Refused),
+            Outcome::Lost => return Err(StateError::Lost),
+        }
+    }
+    Ok(found)
+}
+
+/// Reads the truth again, now and then: jobs that are to be done, and which of them have ended. The
+/// watches tell the same sooner; but no job may hang on one message that was lost.
+async fn reconcile(node: Rc<Node>, term: u64) {
+    loop {
+        sleep(RECONCILE_EVERY).await;
+        if !leads(&node, term) {
+            return;
+        }
+        if !node.state.served() {
+            continue;
+        }
+        if let Err(e) = reconcile_once(&node, term).await {
+            debug!("reading the records again: {e}");
+        }
+    }
+}
+
+async fn reconcile_once(node: &Rc<Node>, term: u64) -> Result<(), StateError> {
+    let (todo, _) = node.state.list(Class::Poll, keys::TODO).await?;
+    let (now, wall) = (node.now(), node.wall_us());
+    let open = {
+        let mut scheduler = node.scheduler.borrow_mut();
+        let Some(s) = scheduler.as_mut().filter(|s| s.term == term) else { return Ok(()) };
+        for pair in &todo {
+            // One that was cleaned up since the list was read comes back here as a job to do; the
+            // guard on its end then fails, and it is cleaned up again.
+            if let Some(name) = pair.key.strip_prefix(keys::TODO) {
+                if !s.by_ref.contains_key(name) && s.add_job(now, name, &pair.value, wall) {
+                    info!(job = %name, "found by reading the records again");
+                }
+            }
+        }
+        s.open_jobs()
+    };
+    for name in ended_of(node, open).await? {
+        if let Some(end) = node.state.end(&name).await? {
+            node.learn_end(&name, end);
+        }
+    }
+    node.pump();
+    Ok(())
+}
+
+/// The book becomes the node's. The machine types may have come while the records were read, when
+/// there was no book to tell them to. (Seen on loopback, where the cloud answers within that time:
+/// a leader without types rented and placed nothing until a price moved.)
+fn install(node: &Node, mut s: Scheduler) {
+    s.set_types(node.types.borrow().clone());
+    *node.scheduler.borrow_mut() = Some(s);
+}
+
+async fn retry(
+    node: &Rc<Node>,
+    prefix: &str,
+) -> Result<(Vec<walnutlug_core::wire::Pair>, u64), StateError> {
+    let mut tries = 0;
+    loop {
+        match node.state.list(Class::Dispatch, prefix).await {
+            Ok(found) => return Ok(found),
+            Err(e) if tries > 20 => return Err(e),
+            Err(_) => {
+                tries += 1;
+                sleep(Duration::from_millis(200)).await;
+            }
+        }
+    }
+}
+
+fn leads(node: &Node, term: u64) -> bool {
+    node.leadership.borrow().role() == Role::Leading { term }
+}
+
+/// Shortest time between two openings of a watch.
+const WATCH_PACE: Duration = Duration::from_millis(150);
+
+/// What is left of a watch's pace. The clock is looked at once: between two looks the process may
+/// lose its turn, and a time that was below the pace is beyond it. (Such a difference below nothing
+/// ended a leader, with a fleet of two thousand, on a busy day.)
+fn rest_of_pace(elapsed: Duration) -> Duration {
+    WATCH_PACE.saturating_sub(elapsed)
+}
+
+/// Hears of new jobs and of ends. Opened again at a bounded pace, since every opening counts.
+async fn watch(node: Rc<Node>, term: u64, prefix: &'static str, mut from: u64) {
+    while leads(&node, term) {
+        let opened = Instant::now();
+        match node.state.watch(Class::Dispatch, prefix, from, Duration::from_secs(10)).await {
+            Ok(watched) => {
+                from = watched.growth.max(from);
+                if !leads(&node, term) {
+                    return;
+                }
+                let (now, wall) = (node.now(), node.wall_us());
+                for event in &watched.events {
+                    let WatchEvent::Put { put, value, .. } = event else { continue };
+                    if let Some(name) = put.strip_prefix(keys::TODO) {
+                        if let Some(s) = node.scheduler.borrow_mut().as_mut() {
+                            s.add_job(now, name, value, wall);
+                        }
+                    } else if let Some(name) = put.strip_prefix(keys::END) {
+                        if let Ok(end) = serde_json::from_value::<End>(value.clone()) {
+                            node.learn_end(name, end);
+                        }
+                    }
+                }
+                node.pump();
+            }
+            Err(StateError::Gone) => {
+                node.give_up_lead("the watch lost its place: the records are read again");
+                return;
+            }
+            Err(_) => sleep(Duration::from_millis(300)).await,
+        }
+        let rest = rest_of_pace(opened.elapsed());
+        if !rest.is_zero() {
+            // A node that took a job or a withdrawal hints that there is something to see.
+            let _ = timeout(rest, node.new_work.notified()).await;
+        }
+    }
+}
+
+async fn list_machines(node: Rc<Node>, term: u64) {
+    let every = Duration::from_micros(node.site.list_lag.0 / 2)
+        .clamp(Duration::from_secs(3), Duration::from_secs(10));
+    while leads(&node, term) {
+        let pause = match node.cloud.list().await {
+            Ok(list) => {
+                let now = node.now();
+                if let Some(s) = node.scheduler.borrow_mut().as_mut() {
+                    s.machine_list(now, &list);
+                }
+                node.pump();
+                every
+            }
+            Err(_) => Duration::from_secs(2),
+        };
+        sleep(pause).await;
+    }
+}
+
+/// The leader's loop: whenever something happened, and now and then, the core decides.
+async fn decide(node: &Rc<Node>, term: u64) {
+    let mut last = Instant::now();
+    while leads(node, term) {
+        {
+            let now = node.now();
+            let mut guard = node.scheduler.borrow_mut();
+            let Some(s) = guard.as_mut() else { return };
+            if s.deaf(now) && node.workers_go_elsewhere() {
+                drop(guard);
+                // Cut off from the workers while they reach another node: leading from here
+                // serves nobody. Another may, and this one holds back for a while.
+                node.leadership.borrow_mut().stand_aside(now, ASIDE);
+                node.give_up_lead("no worker reaches this node, but they reach others");
+                return;
+            }
+            let (left, most) = node.state.writes_left();
+            s.allow_writes(left, most);
+            // By this node's own clock, and from before the request was sent, so never too long.
+            s.in_office = Instant::now() < node.lease_until.get();
+            s.tick(now);
+            s.look_at_fleet(now);
+            let commands = s.take_commands();
+            drop(guard);
+            for command in commands {
+                carry_out(node, term, command);
+            }
+        }
+        let least = Duration::from_millis(10).saturating_sub(last.elapsed());
+        if !least.is_zero() {
+            sleep(least).await;
+        }
+        last = Instant::now();
+        let _ = timeout(Duration::from_millis(100), node.wake.notified()).await;
+    }
+}
+
+fn with_scheduler(node: &Rc<Node>, term: u64, f: impl FnOnce(&mut Scheduler, Time)) {
+    let now = node.now();
+    if let Some(s) = node.scheduler.borrow_mut().as_mut() {
+        // Answers to a former term's requests mean nothing to this one's book.
+        if s.term == term {
+            f(s, now);
+        }
+    }
+    node.pump();
+}
+
+fn carry_out(node: &Rc<Node>, term: u64, command: Command) {
+    let node = node.clone();
+    match command {
+        Command::Note(text) => info!("{text}"),
+        Command::StepDown(why) => node.give_up_lead(why),
+        Command::CheckLead => {
+            if !node.checking_lead.replace(true) {
+                tokio::task::spawn_local(async move {
+                    if let Ok(found) = node.state.get(Class::Leadership, keys::LEADER).await {
+                        if found.is_none_or(|pair| pair.mark != term) {
+                            node.give_up_lead("the leader key is not this term's any more");
+                        }
+                    }
+                    sleep(Duration::from_millis(500)).await;
+                    node.checking_lead.set(false);
+                });
+            }
+        }
+        Command::Commit { id, txn } => {
+            tokio::task::spawn_local(async move {
+                let outcome = node.state.commit(Class::Dispatch, &txn).await;
+                with_scheduler(&node, term, |s, now| s.txn_answer(now, id, outcome));
+            });
+        }
+        Command::Read { id, key } => {
+            tokio::task::spawn_local(async move {
+                let answer = match node.state.get(Class::Dispatch, &key).await {
+                    Ok(Some(pair)) => Some((pair.value, pair.mark)),
+                    Ok(None) => Some((serde_json::Value::Null, 0)),
+                    Err(_) => None,
+                };
+                with_scheduler(&node, term, |s, now| s.read_answer(now, id, answer));
+            });
+        }
+        Command::Direct { machine, address, token, session, calls } => {
+            tokio::task::spawn_local(async move {
+                let outcome = workers::direct(&node.client, &address, token, session, &calls).await;
+                with_scheduler(&node, term, |s, now| s.direct_answer(now, machine, outcome));
+            });
+        }
+        Command::Rent { kind, zone, spot, count } => {
+            tokio::task::spawn_local(async move {
+                let n = node.requests.get() + 1;
+                node.requests.set(n);
+                // Term, incarnation and counter: a name that no other node or time ever uses.
+                let request = RentRequest {
+                    request: format!("{term}-{}-{n}", node.incarnation),
+                    kind: kind.clone(),
+                    zone: zone.clone(),
+                    spot,
+                    count,
+                };
+                let answer = match node.cloud.rent(&request).await {
+                    Ok(names) => Ok(names),
+                    Err(CloudError::NoCapacity) => Ok(Vec::new()),
+                    Err(CloudError::Trouble) => Err(()),
+                };
+                with_scheduler(&node, term, |s, now| {
+                    s.rented(now, &kind, &zone, spot, count, answer);
+                });
+            });
+        }
+        Command::Return { machines } => {
+            tokio::task::spawn_local(async move {
+                let ok = node.cloud.give_back(&machines).await;
+                with_scheduler(&node, term, |s, now| s.returned(now, &machines, ok));
+            });
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::users::stand_in::{Fault, StandIn};
+
+    fn key_for(incarnation: &str) -> Txn {
+        Txn {
+            guards: vec![Guard { key: keys::LEADER.into(), mark: 0 }],
+            apply: vec![Change::put(keys::LEADER, leader_value("kernel-0", incarnation, 5))],
+        }
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn a_lost_answer_on_election_is_read_back() {
+        let store = StandIn::default();
+        let node = store.node();
+        store.fault(Fault::AppliedButLost);
+        let own = create_leader_key(&node.state, &key_for("mine"), "mine").await;
+        assert_eq!(own, Some(1), "elected after all");
+        let other = create_leader_key(&node.state, &key_for("theirs"), "theirs").await;
+        assert_eq!(other, None, "the key is taken");
+        store.fault(Fault::NotApplied);
+        assert_eq!(create_leader_key(&node.state, &key_for("third"), "third").await, None);
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn types_that_came_while_the_records_were_read_reach_the_book() {
+        let node = StandIn::default().node();
+        let (site, tunables) = (node.site.clone(), node.tunables.clone());
+        install(&node, Scheduler::new(site, tunables, 7, Vec::new(), node.now()));
+        let book = node.scheduler.borrow();
+        assert_eq!(book.as_ref().map(|s| s.types.len()), Some(1));
+    }
+
+    /// A process back within its former lease met its own key and waited for it to run out.
+    #[tokio::test(start_paused = true)]
+    async fn a_node_back_at_once_ends_its_former_lead_and_no_other() {
+        let store = StandIn::default();
+        let node = store.node();
+        store.put(keys::LEADER, leader_value("kernel-0", "former", 5));
+        store.put("other", leader_value("kernel-1", "x", 6));
+        let pair = node.state.get(Class::Leadership, keys::LEADER).await.expect("ok").expect("key");
+        end_former_lead(&node, &pair).await;
+        assert!(!store.keys.borrow().contains_key(keys::LEADER));
+        assert!(store.keys.borrow().contains_key("other"));
+    }
+
+    /// The watch's answer with the job in it was lost, and with it every mention of the job.
+    #[tokio::test(start_paused = true)]
+    async fn a_job_that_no_message_told_of_is_found_and_a_lost_end_too() {
+        let store = StandIn::default();
+        let node = store.node();
+        let spec = serde_json::json!({"spec": {
+            "class": "c", "team": "one", "rank": "High", "tasks": 3, "cpus": 1.0, "gpus": 0.0,
+            "memory_gb": 1.0, "image": "i", "image_gb": 1.0, "types": null, "zone": null,
+            "one_zone": false, "spread": false, "spot": true, "estimate_s": 9.0,
+            "checkpoint_s": 0.0, "save_s": 0.0, "deadline_s": null}, "at": 1, "chunk": 50});
+        store.put(&keys::todo("req-1"), spec);
+        *node.scheduler.borrow_mut() = Some(Scheduler::new(
+            node.site.clone(),
+            node.tunables.clone(),
+            7,
+            node.types.borrow().clone(),
+            node.now(),
+        ));
+        reconcile_once(&node, 7).await.expect("read");
+        let open = || node.scheduler.borrow().as_ref().map(|s| s.open_jobs()).unwrap_or_default();
+        assert_eq!(open(), ["req-1"]);
+        store.put(&keys::end("req-1"), serde_json::json!("aborted"));
+        reconcile_once(&node, 7).await.expect("read");
+        assert!(open().is_empty());
+    }
+
+    #[test]
+    fn a_watch_that_returned_late_is_opened_at_once() {
+        assert_eq!(rest_of_pace(Duration::ZERO), WATCH_PACE);
+        assert_eq!(rest_of_pace(WATCH_PACE / 3), WATCH_PACE - WATCH_PACE / 3);
+        for late in [WATCH_PACE, WATCH_PACE + Duration::from_nanos(1), Duration::from_secs(9)] {
+            assert_eq!(rest_of_pace(late), Duration::ZERO);
+        }
+    }
+}
