Jobs keep away from machines that failed them; sick machines are blamed after all

Now a job keeps away for two minutes, a job that comes off somewhere blames where it failed, a completed task clears its machine, and two jobs suffice.

--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -145,8 +145,10 @@
     pub in_message: Vec<(TaskId, u32)>,
     pub retry_at: Time,
     pub idle_since: Time,
-    /// Jobs that failed here, each counted once.
+    /// Jobs that failed here since anything completed here, each counted once.
     pub failures: BTreeSet<JobIx>,
+    /// When a task completed here last.
+    pub completed_at: Time,
     pub draining: Option<&'static str>,
     pub return_sent: Option<Time>,
 }
@@ -197,9 +199,10 @@
     pub zones: BTreeMap<String, u32>,
     /// No task below this index is pending.
     pub scan_from: u32,
-    /// Failures in a row, over different machines: the job itself may be at fault.
+    /// Times in a row that it was found to be at fault itself, tasks that fail together counted once.
     pub errors: u32,
-    pub error_machines: BTreeSet<MachineIx>,
+    /// Where its tasks failed, and when last.
+    pub error_machines: BTreeMap<MachineIx, Time>,
     pub not_before: Time,
     /// When each running task was first seen with its image.
     pub started: HashMap<u32, Time>,
@@ -213,6 +216,18 @@
         self.spec.tasks - self.done - self.placed
     }
 
+    /// Whether the job itself is likely at fault: it failed on several machines and never came off.
+    pub(crate) fn suspect(&self) -> bool {
+        self.done == 0 && self.error_machines.len() >= SUSPECT_AFTER
+    }
+
+    /// Whether its tasks keep away from the machine because they failed there lately. (Sent there
+    /// again, as the machine was the first to be free each time, one job's tasks failed 412 times on
+    /// one of 42 sick machines; three such machines made the job look at fault, and nobody was blamed.)
+    pub(crate) fn avoids(&self, now: Time, m: MachineIx) -> bool {
+        self.error_machines.get(&m).is_some_and(|&at| now.since(at) < AVOID_FOR)
+    }
+
     pub(crate) fn chunk_of(&self, index: u32) -> usize {
         (index / self.chunk_size) as usize
     }
@@ -279,6 +294,11 @@
     json!({"spec": spec, "at": accepted_wall_us, "chunk": chunk})
 }
 
+/// Machines on which a job has to fail to be at fault itself.
+const SUSPECT_AFTER: usize = 3;
+/// For how long a job keeps away from a machine that failed it.
+const AVOID_FOR: Span = Span::secs(120);
+
 /// In what steps after the job's acceptance the time of a placing is stored.
 pub(crate) const PLACED_UNIT: Span = Span::millis(100);
 /// What a task that was placed needs at least until it runs: a write, a message, mostly an image.
@@ -419,7 +439,7 @@
             zones: BTreeMap::new(),
             scan_from: 0,
             errors: 0,
-            error_machines: BTreeSet::new(),
+            error_machines: BTreeMap::new(),
             not_before: Time(0),
             started: HashMap::new(),
             begun: false,
@@ -523,6 +543,7 @@
             retry_at: Time(0),
             idle_since: now,
             failures: BTreeSet::new(),
+            completed_at: Time(0),
             draining: None,
             return_sent: None,
         };
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -265,7 +265,7 @@
         let mut soon_free = self.cpus_free_soon(now);
         for (urgency, ix) in queue {
             let Some(job) = self.job(ix) else { continue };
-            if job.errors > 0 && job.error_machines.len() >= 3 {
+            if job.errors > 0 && job.suspect() {
                 continue; // No machine is rented for a job that fails everywhere.
             }
             let allowed: Vec<bool> =
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -245,7 +245,7 @@
     /// fullness counts in quarters of a machine, so that ties are common; they go to a machine with
     /// the image, then to the cheapest. A task makes its machine fuller, so the best stays the best
     /// until it is full: one look serves all tasks of the job.
-    fn candidates(&self, job: &Job, open: &[MachineIx]) -> Vec<MachineIx> {
+    fn candidates(&self, now: Time, job: &Job, open: &[MachineIx]) -> Vec<MachineIx> {
         // Where the aim on starting leaves no time for a fetch, the image comes before fullness.
         let waits = self.site.wait_aim(&job.spec.class).is_some();
         // Where ordinary machines cost little more than spot ones they are there anyway, and what is
@@ -257,7 +257,7 @@
         let mut found: Vec<(Fitness, f64, MachineIx)> = Vec::new();
         for &ix in open {
             let m = &self.machines[ix as usize];
-            if !self.fits(job, m) {
+            if !self.fits(job, m) || job.avoids(now, ix) {
                 continue;
             }
             let Some(kind) = m.kind.and_then(|k| self.types.get(k)) else { continue };
@@ -378,7 +378,8 @@
                 && self.open_for_work(now, m)
         };
         (0..self.machines.len() as MachineIx)
-            .filter(|m| !taken.contains(m) && usable(&self.machines[*m as usize]))
+            .filter(|m| !taken.contains(m) && !job.avoids(now, *m))
+            .filter(|m| usable(&self.machines[*m as usize]))
             .max_by(|&a, &b| {
                 let (x, y) = (&self.machines[a as usize], &self.machines[b as usize]);
                 free(x).total_cmp(&free(y)).then(b.cmp(&a))
@@ -393,7 +394,7 @@
         }
         let zone =
             (job.spec.one_zone && job.zones.is_empty()).then(|| self.zone_for(job, open)).flatten();
-        let machines = self.candidates(job, open);
+        let machines = self.candidates(now, job, open);
         let mut machines = machines.into_iter().peekable();
         let mut index = job.scan_from;
         let total = job.spec.tasks;
--- a/crates/core/src/receipts.rs
+++ b/crates/core/src/receipts.rs
@@ -466,40 +466,61 @@
         if let Some(job) = self.jobs.get_mut(&id.0) {
             job.begun = true;
         }
+        // What completes anything isn't sick; and a job that comes off somewhere was not at fault
+        // where it failed.
+        let machine = &mut self.machines[m as usize];
+        machine.failures.clear();
+        machine.completed_at = now;
+        let first = self.job(id.0).filter(|j| j.done == 0);
+        let failed: Vec<(MachineIx, Time)> = first
+            .map_or(Vec::new(), |j| j.error_machines.iter().map(|(&m, &at)| (m, at)).collect());
+        for (other, at) in failed {
+            if self.machines[other as usize].completed_at < at {
+                self.blame(other, id.0);
+            }
+        }
         self.step(now, id, Input::Finish);
     }
 
+    /// The job failed on the machine, and not by its own fault as far as can be told.
+    fn blame(&mut self, m: MachineIx, job: crate::book::JobIx) {
+        let machine = &mut self.machines[m as usize];
+        machine.failures.insert(job);
+        if machine.failures.len() as u32 >= self.tun.sick_after && machine.draining.is_none() {
+            machine.draining = Some("fails the tasks of several jobs");
+            let name = machine.name.clone();
+            self.note(format!("{name} is drained: it fails the tasks of several jobs"));
+        }
+    }
+
     /// A task's attempt ended on its machine for another reason than completion.
     fn exited(&mut self, now: Time, id: TaskId, m: MachineIx, cause: Cause) {
         if cause == Cause::Done {
             return;
         }
         self.step(now, id, Input::Absent);
-        let tun = self.tun.clone();
         let Some(job) = self.jobs.get_mut(&id.0) else { return };
         match cause {
             Cause::Error | Cause::Unknown | Cause::Other => {
-                job.errors += 1;
-                job.error_machines.insert(m);
-                // A job that fails on machine after machine is at fault itself: it is tried at
-                // ever longer intervals and no machine is blamed for it.
-                let suspect = job.error_machines.len() >= 3;
-                let wait = 1u64 << job.errors.min(5);
-                if suspect {
-                    job.not_before = now + Span::secs(wait);
+                job.error_machines.insert(m, now);
+                // A job that fails on machine after machine, and nowhere comes off, is at fault
+                // itself: it is tried at ever longer intervals and no machine is blamed for it.
+                let suspect = job.suspect();
+                if suspect && now >= job.not_before {
+                    job.errors += 1;
+                    job.not_before = now + Span::secs(1u64 << job.errors.min(5));
                 }
                 let name = job.name.clone();
+                let cleared: Vec<MachineIx> = match suspect {
+                    true => job.error_machines.keys().copied().collect(),
+                    false => Vec::new(),
+                };
+                for other in cleared {
+                    self.machines[other as usize].failures.remove(&id.0);
+                }
                 self.note(format!("{name}/{} failed on {}", id.1, self.machines[m as usize].name));
-                let machine = &mut self.machines[m as usize];
                 if !suspect {
-                    machine.failures.insert(id.0);
-                }
-                let bad = machine.failures.len() as u32 >= tun.sick_after
-                    || (machine.failures.len() >= 2 && machine.images.is_empty());
-                if bad && machine.draining.is_none() {
-                    machine.draining = Some("fails the tasks of several jobs");
-                    let name = machine.name.clone();
-                    self.note(format!("{name} is drained: it fails the tasks of several jobs"));
+                    self.blame(m, id.0);
                 }
             }
             Cause::NoRoom | Cause::InUse => {
--- a/crates/core/src/tunables.rs
+++ b/crates/core/src/tunables.rs
@@ -72,7 +72,7 @@
             lift_after: Span::secs(420),
             lift_share: 0.1,
             boot_patience: 3.0,
-            sick_after: 3,
+            sick_after: 2,
             slow_factor: 2.0,
             round_every: Span::millis(20),
             evidence_delay: Span::secs(4),
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -491,3 +491,41 @@
     // Sixteen tasks of two processors, eight on a machine.
     assert!((1..=4).contains(&rented), "{rented} machines");
 }
+
+/// One job's tasks failed 412 times on one machine: it was the first to be free each time. Three such
+/// machines made the job look at fault, and no machine was blamed.
+#[test]
+fn a_job_keeps_away_from_machines_that_failed_it_and_they_are_drained() {
+    use walnutlug_core::wire::{Cause, TaskStage};
+    let names: Vec<String> = (0..8).map(|i| format!("n-{i}")).collect();
+    let machines: Vec<(&str, &str)> = names.iter().map(|n| (n.as_str(), "a")).collect();
+    let mut w = World::new(&machines);
+    let mut failures = 0;
+    for round in 0..30 {
+        if round < 10 {
+            w.submit(&format!("req-0000{round:02}"), &spec(10));
+        }
+        w.settle();
+        // The first three are sick, the others complete.
+        for worker in w.workers.values_mut() {
+            let sick = ["n-0", "n-1", "n-2"].contains(&worker.name.as_str());
+            for state in worker.tasks.values_mut().filter(|s| s.0 != TaskStage::Exited) {
+                failures += u32::from(sick);
+                *state = (TaskStage::Exited, Some(if sick { Cause::Error } else { Cause::Done }));
+            }
+        }
+        w.all_report();
+        w.wait(500);
+    }
+    let drained: Vec<&str> = w
+        .leader
+        .machines
+        .iter()
+        .filter(|m| m.draining.is_some_and(|why| why.contains("several jobs")))
+        .map(|m| m.name.as_str())
+        .collect();
+    assert_eq!(drained, ["n-0", "n-1", "n-2"]);
+    // Four at a time on each, for two jobs and perhaps one more that was placed meanwhile.
+    assert!(failures <= 3 * 12, "{failures}");
+    assert!(w.leader.open_jobs().is_empty(), "all are done");
+}
--- a/deploy/walnutlug.lua
+++ b/deploy/walnutlug.lua
@@ -20,7 +20,7 @@
   lift_after = 420.0,
   lift_share = 0.1,
   boot_patience = 3.0,
-  sick_after = 3,
+  sick_after = 2,
   slow_factor = 2.0,
   round_every = 0.02,
   evidence_delay = 4.0,
