--- a/crates/core/src/receipts.rs
+++ b/crates/core/src/receipts.rs
@@ -11,6 +11,10 @@
 /// A start counts for the job's users if it is not stopped again within half a minute.
 const BEGUN_AFTER: Span = Span::secs(32);
 
+/// Calls in one answer, which is one line of at most 64 KiB; the next report is told the rest. (A
+/// report may have as many tasks as fit into its own 64 KiB, and a call is longer than a task.)
+const MOST_CALLS: usize = 500;
+
 /// Ever longer, up to sixteen times the first, while messages to a machine go on being lost.
 fn pause(first: Span, losses: u32) -> Span {
     Span(first.0 << losses.saturating_sub(1).min(4))
@@ -216,6 +220,7 @@
                 calls.extend(reaps);
             }
         }
+        calls.truncate(MOST_CALLS);
         calls
     }
 
--- a/crates/core/tests/trust.rs
+++ b/crates/core/tests/trust.rs
@@ -329,3 +329,22 @@
     assert!(first.is_some_and(|s| s < 200.0), "its first task ran after {first:?} s");
     assert!(done.is_some(), "starved");
 }
+
+#[test]
+fn a_report_of_thousands_of_tasks_gets_an_answer_that_fits_a_line() {
+    use walnutlug_core::wire::{ReportAnswer, TaskReport, TaskStage};
+    let mut w = World::new(&[("n-1", "a")]);
+    let mut report = report_of(&mut w, "n-1");
+    report.tasks = (0..3_000)
+        .map(|i| TaskReport {
+            task: format!("req-999999/{i}"),
+            attempt: 4_000_000,
+            state: TaskStage::Running,
+            cause: None,
+        })
+        .collect();
+    let (token, calls) = w.leader.report(w.now, &report).expect("answered");
+    assert!(calls.len() >= 400, "{} of what it runs is stopped at once", calls.len());
+    let answer = serde_json::to_vec(&ReportAnswer { token, calls }).expect("json");
+    assert!(answer.len() < 64 * 1024, "{} bytes", answer.len());
+}
--- a/crates/walnutlug/src/settings.rs
+++ b/crates/walnutlug/src/settings.rs
@@ -53,6 +53,13 @@
 }
 
 impl Sockets {
+    /// The fewest sockets that a node can do with: its own descriptors and listeners, requests to the
+    /// state service and the cloud beside two watches, a connection each way with one to spare for
+    /// every other node, and some users and workers.
+    pub fn least(peers: usize) -> u32 {
+        (8 + 12 + 3 * peers + 16) as u32
+    }
+
     /// What is left over is for the other nodes, the listeners and connections that are closing.
     pub fn share(limit: u32) -> Sockets {
         let part = |percent: u32| (u64::from(limit) * u64::from(percent) / 100) as u32;
@@ -241,7 +248,15 @@
         let txn_ops = r.number("facts.state.txn_ops", 2.0, 10_000.0);
         let cloud_rps = r.number("facts.cloud.rps", 0.1, 1.0e6);
         let list_lag_s = r.number("facts.cloud.list_lag_s", 0.0, 3_600.0);
-        let fd_limit = r.number("facts.resources.fd_limit", 32.0, 1.0e7);
+        let fd_limit = r.number("facts.resources.fd_limit", 1.0, 1.0e7);
+        let least = Sockets::least(peers.len());
+        if fd_limit < f64::from(least) {
+            r.faults.push(format!(
+                "facts.resources.fd_limit: {fd_limit} sockets are too few: {least} are needed for the \
+                 listeners, the state service, the cloud, {} other nodes and a few users and workers",
+                peers.len()
+            ));
+        }
         if !r.faults.is_empty() {
             return Err(r.faults);
         }
@@ -320,6 +335,19 @@
         }
     }
 
+    #[test]
+    fn too_few_sockets_are_told_with_how_many_are_needed() {
+        let mut few = sample();
+        for (limit, fine) in [(0, false), (20, false), (38, false), (39, true), (1_000_000, true)] {
+            few["facts"]["resources"]["fd_limit"] = json!(limit);
+            let read = Settings::parse(&few.to_string());
+            assert_eq!(read.is_ok(), fine, "{limit}");
+            if let (20, Err(faults)) = (limit, read) {
+                assert!(faults[0].contains("20 sockets are too few: 39 are needed"), "{faults:?}");
+            }
+        }
+    }
+
     #[test]
     fn every_fault_is_named() {
         let mut bad = sample();
