--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -157,17 +157,17 @@
 /// every round.
 #[test]
 fn a_round_looks_at_machines_with_room_and_once_a_job() {
-    let names: Vec<String> = (0..800).map(|i| format!("n-{i:03}")).collect();
+    let names: Vec<String> = (0..2_060).map(|i| format!("n-{i:04}")).collect();
     let machines: Vec<(&str, &str)> = names.iter().map(|n| (n.as_str(), "a")).collect();
     let mut w = World::new(&machines);
     w.submit("req-000001", &JobSpec { cpus: 8.0, ..spec(300) });
     w.tick();
-    assert_eq!(w.leader.looked_at, 800, "one look for 300 tasks");
+    assert_eq!(w.leader.looked_at, 2_060, "one look for 300 tasks");
     w.settle();
     assert_eq!(w.places().len(), 300);
-    w.submit("req-000002", &JobSpec { cpus: 8.0, ..spec(500) });
+    w.submit("req-000002", &JobSpec { cpus: 8.0, ..spec(1_760) });
     w.settle();
-    assert_eq!(w.places().len(), 800);
+    assert_eq!(w.places().len(), 2_060);
     for i in 10..70 {
         w.submit(&format!("req-0000{i}"), &spec(300));
     }
@@ -176,8 +176,8 @@
     w.tick();
     assert_eq!(w.leader.looked_at - before, 0, "60 jobs wait and no machine has room");
     // One machine has room: it alone is looked at, until it is full.
-    w.finish("n-007", &w.places().into_iter().find(|p| p.1[0] == "n-007").expect("task").0);
-    w.report("n-007");
+    w.finish("n-0007", &w.places().into_iter().find(|p| p.1[0] == "n-0007").expect("task").0);
+    w.report("n-0007");
     let before = w.leader.looked_at;
     w.tick();
     assert_eq!(w.leader.looked_at - before, 1);
@@ -187,7 +187,7 @@
 /// answers to workers first.
 #[test]
 fn a_take_over_asks_a_large_fleet_in_parts() {
-    let names: Vec<String> = (0..800).map(|i| format!("n-{i:03}")).collect();
+    let names: Vec<String> = (0..2_060).map(|i| format!("n-{i:04}")).collect();
     let machines: Vec<(&str, &str)> = names.iter().map(|n| (n.as_str(), "a")).collect();
     let mut w = World::new(&machines);
     w.take_over();
@@ -196,9 +196,9 @@
     }
     let mut rounds = 0;
     let seen = |w: &World| w.leader.machines.iter().filter(|m| m.seen_token > 0).count();
-    while seen(&w) < 800 {
+    while seen(&w) < 2_060 {
         rounds += 1;
-        assert!(rounds < 60, "{} of 800 asked after 60 rounds", seen(&w));
+        assert!(rounds < 90, "{} of 2,060 asked after 90 rounds", seen(&w));
         w.wait(150);
         w.tick();
         let sent = std::mem::take(&mut w.commands);
@@ -529,3 +529,47 @@
     assert!(failures <= 3 * 12, "{failures}");
     assert!(w.leader.open_jobs().is_empty(), "all are done");
 }
+
+/// After a partly filled request an offer was closed for up to 64 s, also for what was given back since.
+#[test]
+fn what_was_given_back_is_on_offer_again_and_refusals_pause_for_sixteen_seconds() {
+    let mut w = one_machine();
+    w.leader.machine_list(w.now, &[]);
+    // Work for ten machines that only spot ones of zone a may do, far beyond its time.
+    let work = JobSpec { cpus: 8.0, zone: Some("a".into()), deadline_s: Some(1.0), ..spec(10) };
+    w.submit(JOB, &work);
+    w.settle();
+    let mut asked_at = Vec::new();
+    let look = |w: &mut World, asked_at: &mut Vec<u64>, fill: usize| {
+        w.wait(450);
+        w.tick();
+        w.leader.look_at_fleet(w.now);
+        w.commands.extend(w.leader.take_commands());
+        for command in std::mem::take(&mut w.commands) {
+            let Command::Rent { kind, zone, spot, count } = command else { continue };
+            let fill = if spot { fill } else { 0 };
+            let names = (0..fill).map(|i| format!("x-{i}")).collect();
+            if spot {
+                asked_at.push(w.now.0 / 1_000_000);
+            }
+            w.leader.rented(w.now, &kind, &zone, spot, count, Ok(names));
+        }
+    };
+    look(&mut w, &mut asked_at, 2);
+    assert_eq!(asked_at.len(), 1);
+    for _ in 0..160 {
+        look(&mut w, &mut asked_at, 0);
+    }
+    let longest = asked_at.windows(2).map(|p| p[1] - p[0]).max().expect("asked again");
+    assert!((14..=17).contains(&longest), "{asked_at:?}");
+    // Just refused; then one is given back.
+    while asked_at.last() != Some(&(w.now.0 / 1_000_000)) {
+        look(&mut w, &mut asked_at, 0);
+    }
+    let before = asked_at.len();
+    look(&mut w, &mut asked_at, 0);
+    assert_eq!(asked_at.len(), before, "refused a moment ago");
+    w.leader.returned(w.now, &["x-0".to_owned()], true);
+    look(&mut w, &mut asked_at, 0);
+    assert_eq!(asked_at.len(), before + 1, "what was given back is to be had");
+}
--- a/crates/walnutlug/src/peers.rs
+++ b/crates/walnutlug/src/peers.rs
@@ -346,10 +346,10 @@
     #[test]
     fn the_hints_of_a_large_fleet_take_few_frames() {
         let name = |i: usize| (format!("n-{i:06}"), SocketAddrV4::new([10, 0, 0, 1].into(), 9000));
-        let all: Vec<_> = (0..800).map(name).collect();
+        let all: Vec<_> = (0..2_060).map(name).collect();
         let frames: Vec<Vec<u8>> =
             all.chunks(MOST_MACHINES).map(|c| Frame::Machines(c.to_vec()).encode()).collect();
-        assert!(frames.len() <= 7, "{} frames", frames.len());
+        assert!(frames.len() <= 18, "{} frames", frames.len());
         assert!(frames.iter().all(|f| f.len() <= MOST));
     }
 
