--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -8,8 +8,9 @@
 
 use serde_json::{json, Value};
 
+use crate::chain::{Chains, Due};
 use crate::dispatch::PendingTxn;
-use crate::job::{keys, JobSpec};
+use crate::job::{keys, JobSpec, Rank};
 use crate::leadership::token;
 use crate::task::{Input, MachineIx, Phase, Task};
 use crate::time::{Span, Time};
@@ -32,6 +33,10 @@
         id: u64,
         key: String,
     },
+    /// Find out which of the jobs have ended, and answer with [`Scheduler::ends_found`].
+    FindEnds {
+        names: Vec<String>,
+    },
     /// Post the calls once, never again, and answer with [`Scheduler::direct_answer`].
     Direct {
         machine: MachineIx,
@@ -68,6 +73,9 @@
     },
     /// Certainly not executed.
     Refused,
+    /// Certainly not executed, now or later: a value or the transaction is over the service's
+    /// limits.
+    TooLarge,
     /// May have been executed, or may be later.
     Lost,
 }
@@ -182,8 +190,24 @@
     pub name: String,
     pub spec: JobSpec,
     pub accepted: Time,
+    /// When the last job that it needs was found to be done; its acceptance, if it needs none. All
+    /// times but the deadline count from here.
+    pub released: Time,
+    /// Jobs that it needs and whose end `done` was not read yet. While there are any, nothing of
+    /// it is started and it counts for nothing.
+    pub unmet: usize,
+    /// A job that it needs, directly or through others, has ended `aborted`: so will this one.
+    pub doomed: bool,
+    /// The highest priority of its own and of the jobs that need it.
+    pub rank: Rank,
+    /// The deadline that presses it most: its own, or that of a job that needs it.
+    pub due: Option<Due>,
     pub chunk_size: u32,
     pub chunks: Vec<Chunk>,
+    /// Marks of the parts of its chunks that are kept apart, by chunk and first task.
+    pub parts: BTreeMap<(usize, u32), u64>,
+    /// Tasks that changed since their records were written last.
+    pub changed: BTreeSet<u32>,
     pub tasks: Vec<Task>,
     /// Which finishes are written; only then may the worker forget them.
     pub recorded: Vec<bool>,
@@ -212,6 +236,11 @@
 }
 
 impl Job {
+    /// Whether it waits for other jobs.
+    pub fn held(&self) -> bool {
+        self.unmet > 0 || self.doomed
+    }
+
     pub fn pending(&self) -> u32 {
         self.spec.tasks - self.done - self.placed
     }
@@ -253,6 +282,10 @@
     pub(crate) next_id: u64,
     /// The state service refused the last write: nothing is decided until it answers again.
     pub stalled_until: Time,
+    /// The largest value and the most changes of a transaction that the state service takes now, as
+    /// far as is known.
+    pub(crate) limits: Limits,
+    pub(crate) chains: Chains,
     pub(crate) last_round: Time,
     /// Changes that the state service's write rate has room for now, and at most; `None`: any.
     writes: Option<(f64, f64)>,
@@ -283,6 +316,13 @@
     pub sizes: HashMap<String, (f64, Time)>,
 }
 
+/// What the state service takes at once.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Limits {
+    pub value_bytes: usize,
+    pub txn_ops: usize,
+}
+
 /// How many tasks one stored chunk holds, so that its value stays below the limit even with long
 /// machine names and large attempt numbers.
 pub fn chunk_size(value_bytes: usize) -> u32 {
@@ -322,7 +362,6 @@
         now: Time,
     ) -> Scheduler {
         Scheduler {
-            site,
             tun,
             term,
             loaded_token: token(term, 0) - 1,
@@ -338,6 +377,8 @@
             txns: BTreeMap::new(),
             next_id: 1,
             stalled_until: Time(0),
+            limits: Limits { value_bytes: site.value_bytes, txn_ops: site.txn_ops },
+            chains: Chains::default(),
             last_round: Time(0),
             writes: None,
             tally: crate::dispatch::Tally::default(),
@@ -354,9 +395,15 @@
             fleet: crate::fleet::Fleet::default(),
             ratios: HashMap::new(),
             sizes: HashMap::new(),
+            site,
         }
     }
 
+    /// Tells what the state service takes at once; it may become less at any time.
+    pub fn set_limits(&mut self, value_bytes: usize, txn_ops: usize) {
+        self.limits = Limits { value_bytes, txn_ops: txn_ops.max(1) };
+    }
+
     /// Tells how many changes the write rate has room for now, of how many at most. What is decided
     /// beyond that waits here, where the most urgent goes first, and not in front of the service.
     pub fn allow_writes(&mut self, left: f64, most: f64) {
@@ -405,29 +452,32 @@
         let (Ok(spec), Some(at), Some(chunk_size)) =
             (spec, value["at"].as_u64(), value["chunk"].as_u64())
         else {
-            self.note(format!("stored description of {name} cannot be read"));
+            self.note_once(name, "its stored description cannot be read");
             return false;
         };
         if spec.tasks == 0 || u64::from(spec.tasks) > wire::MOST_TASKS || chunk_size == 0 {
-            self.note(format!("stored description of {name} is out of range"));
+            self.note_once(name, "its stored description is out of range");
             return false;
         }
         let chunk_size = chunk_size.min(u64::from(u32::MAX)) as u32;
         let age = Span(wall_us.saturating_sub(at));
-        if self.sizes.len() > MOST_CLASSES {
-            self.sizes.clear();
-            self.ratios.clear();
+        let accepted = now - age;
+        if spec.needs.is_empty() {
+            self.learn_size(&spec, now, accepted);
         }
-        let size = f64::from(spec.tasks) * spec.cpus;
-        let known = self.sizes.entry(spec.class.clone()).or_insert((size, now));
-        known.0 += 0.2 * (size - known.0);
-        known.1 = known.1.max(now - age);
         let chunks = spec.tasks.div_ceil(chunk_size) as usize;
         let job = Job {
             name: name.to_owned(),
-            accepted: now - age,
+            accepted,
+            released: accepted,
+            unmet: 0,
+            doomed: false,
+            rank: spec.rank,
+            due: Due::of(&spec, accepted),
             chunk_size,
             chunks: vec![Chunk::default(); chunks],
+            parts: BTreeMap::new(),
+            changed: BTreeSet::new(),
             tasks: vec![Task::new(now); spec.tasks as usize],
             recorded: vec![false; spec.tasks as usize],
             over: false,
@@ -451,23 +501,81 @@
         self.jobs.insert(ix, job);
         self.by_ref.insert(name.to_owned(), ix);
         self.dirty = true;
+        self.link(now, ix);
         true
     }
 
-    /// Takes over a stored chunk. All that was placed keeps its machine; deadlines start again.
-    pub fn load_chunk(&mut self, now: Time, key: &str, value: &Value, mark: u64) -> bool {
-        let Some((name, chunk)) = keys::split_run(key) else { return false };
-        let Some(&ix) = self.by_ref.get(name) else { return false };
-        let Some(records) = value["t"].as_array() else { return false };
-        let Some(job) = self.jobs.get_mut(&ix) else { return false };
-        if chunk >= job.chunks.len() {
-            return false;
+    /// Learns how large the class's jobs are, from one that can begin.
+    pub(crate) fn learn_size(&mut self, spec: &JobSpec, now: Time, since: Time) {
+        if self.sizes.len() > MOST_CLASSES {
+            self.sizes.clear();
+            self.ratios.clear();
         }
-        job.chunks[chunk].mark = mark;
+        let size = f64::from(spec.tasks) * spec.cpus;
+        let known = self.sizes.entry(spec.class.clone()).or_insert((size, now));
+        known.0 += 0.2 * (size - known.0);
+        known.1 = known.1.max(since);
+    }
+
+    /// Takes over the stored chunks, all of them at once. All that was placed keeps its machine;
+    /// deadlines start again. Returns the keys that belong to no job or can't be read.
+    ///
+    /// A task may stand in its chunk and in a part that was written later, or the other way round:
+    /// each holds all of its tasks as they were when it was written, so the newer one counts.
+    pub fn load_runs(&mut self, now: Time, stored: &[wire::Pair]) -> Vec<String> {
+        let mut by_age: Vec<&wire::Pair> = stored.iter().collect();
+        by_age.sort_by_key(|pair| pair.mark);
+        let mut newest: BTreeMap<TaskId, &Value> = BTreeMap::new();
+        let mut strange = Vec::new();
+        for pair in by_age {
+            if self.read_run(pair, &mut newest).is_none() {
+                strange.push(pair.key.clone());
+            }
+        }
+        let mut by_job: BTreeMap<JobIx, Vec<(u32, &Value)>> = BTreeMap::new();
+        for (id, record) in newest {
+            by_job.entry(id.0).or_default().push((id.1, record));
+        }
+        for (ix, records) in by_job {
+            self.load_records(now, ix, &records);
+        }
+        strange
+    }
+
+    /// Adds a stored chunk's or part's records to the newest of each task.
+    fn read_run<'a>(
+        &mut self,
+        pair: &'a wire::Pair,
+        newest: &mut BTreeMap<TaskId, &'a Value>,
+    ) -> Option<()> {
+        let (name, chunk, from) = keys::split_run(&pair.key)?;
+        let ix = *self.by_ref.get(name)?;
+        let records = pair.value["t"].as_array()?;
+        let job = self.jobs.get_mut(&ix)?;
+        let state = job.chunks.get_mut(chunk)?;
         let base = chunk as u32 * job.chunk_size;
+        let first = match from {
+            Some(from) if from < base || from >= base.saturating_add(job.chunk_size) => {
+                return None
+            }
+            Some(from) => {
+                job.parts.insert((chunk, from), pair.mark);
+                from
+            }
+            None => {
+                state.mark = pair.mark;
+                base
+            }
+        };
+        let end = base.saturating_add(job.chunk_size).min(job.spec.tasks);
+        newest.extend((first..end).zip(records).map(|(index, record)| ((ix, index), record)));
+        Some(())
+    }
+
+    fn load_records(&mut self, now: Time, ix: JobIx, records: &[(u32, &Value)]) {
+        let Some(job) = self.jobs.get_mut(&ix) else { return };
         let mut placed = Vec::new();
-        for (i, record) in records.iter().enumerate() {
-            let index = base + i as u32;
+        for &(index, record) in records {
             let Some(task) = job.tasks.get_mut(index as usize) else { break };
             let Some((phase, attempt, machine, session, steps)) = read_record(record) else {
                 continue;
@@ -501,7 +609,6 @@
                 self.has_image(m, image);
             }
         }
-        true
     }
 
     /// The machine of that name, made up as silent if nothing is known of it.
@@ -594,7 +701,8 @@
         self.jobs.values().filter(|j| !j.over).map(|j| j.name.clone()).collect()
     }
 
-    /// The job has ended for its users: nothing of it is started any more.
+    /// The job has ended for its users: nothing of it is started any more. How it ended isn't told
+    /// here, so nothing is released by it; see [`Scheduler::job_ended`].
     pub fn job_over(&mut self, now: Time, name: &str) {
         let Some(&ix) = self.by_ref.get(name) else { return };
         let Some(job) = self.jobs.get_mut(&ix) else { return };
@@ -603,6 +711,8 @@
         }
         job.over = true;
         self.dirty = true;
+        self.unlink(now, ix);
+        let Some(job) = self.jobs.get(&ix) else { return };
         let all: Vec<u32> =
             (0..job.spec.tasks).filter(|&i| job.tasks[i as usize].phase.placed()).collect();
         for index in all {
@@ -674,12 +784,12 @@
             Input::Finish | Input::Absent | Input::Settle => {
                 let chunk = job.chunk_of(id.1);
                 job.chunks[chunk].evidence.get_or_insert(now);
+                job.changed.insert(id.1);
+            }
+            Input::Dispatch { .. } | Input::Retract => {
+                job.changed.insert(id.1);
             }
-            Input::Dispatch { .. }
-            | Input::Retract
-            | Input::Send { .. }
-            | Input::Seen
-            | Input::Stop => {}
+            Input::Send { .. } | Input::Seen | Input::Stop => {}
         }
         job.stopping += u32::from(after == Phase::Stopping);
         job.stopping -= u32::from(before == Phase::Stopping && after != Phase::Stopping);
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -1,7 +1,7 @@
 //! Rounds: what was decided is written before anything is sent, and sent once it is written.
 
 use crate::book::{Command, JobIx, MachineState, Outcome, Scheduler, TaskId, PLACED_UNIT};
-use crate::job::keys;
+use crate::job::{keys, End};
 use crate::task::{Input, MachineIx, Phase};
 use crate::time::{Span, Time};
 use crate::wire::{Call, Change, Guard, Txn};
@@ -35,12 +35,17 @@
 struct Batch {
     txn: Txn,
     bytes: usize,
+    /// Chunks written, whole or in part.
     chunks: Vec<(JobIx, usize)>,
+    /// What was written of each: its first task, if it is a part.
+    written: Vec<(JobIx, usize, Option<u32>)>,
+    /// All tasks whose records were written anew.
+    changed: Vec<TaskId>,
     starts: Vec<TaskId>,
     finishes: Vec<TaskId>,
-    ends: Vec<JobIx>,
-    /// Jobs whose records go, and whether these are the last of them.
-    cleanups: Vec<(JobIx, bool)>,
+    ends: Vec<(JobIx, End)>,
+    /// Jobs whose records go, whether these are the last of them, and which parts go.
+    cleanups: Vec<(JobIx, bool, Vec<(usize, u32)>)>,
     /// Evidence and clean-up alone: nothing waits for it.
     lazy: bool,
 }
@@ -58,6 +63,20 @@
     retry_at: Option<Time>,
     /// An answer was lost at least once, so that a conflict may be with its own earlier copy.
     doubted: bool,
+    /// It is over the service's limits by now, so that none of its copies takes effect any more.
+    too_large: bool,
+}
+
+impl PendingTxn {
+    /// Whether the mark is the one that a record of it had before.
+    fn expects(&self, mark: u64) -> bool {
+        self.batch.txn.guards.iter().any(|g| g.key.starts_with(keys::RUN) && g.mark == mark)
+    }
+}
+
+/// Tasks in one part of a chunk: few enough for the longest records.
+fn part_size(value_bytes: usize) -> u32 {
+    (value_bytes.saturating_sub(96) / 64).clamp(1, 200) as u32
 }
 
 impl Scheduler {
@@ -94,6 +113,7 @@
             }
             self.write_round(now);
         }
+        self.ask_for_ends(now);
         self.flush(now, sweep);
     }
 
@@ -102,7 +122,7 @@
     /// clean-up once went out beside the starts: at 20 changes a second they took most of it, and a
     /// start or an acceptance waited whole seconds.)
     fn write_round(&mut self, now: Time) {
-        let ops = self.site.txn_ops.max(1);
+        let ops = self.limits.txn_ops;
         let most = self.tun.txns_in_flight as usize;
         let mut starts: Vec<(std::cmp::Reverse<crate::job::Rank>, Time, JobIx, usize)> = Vec::new();
         let mut ends: Vec<JobIx> = Vec::new();
@@ -113,6 +133,9 @@
                 over.push(ix);
                 continue;
             }
+            if job.doomed {
+                continue;
+            }
             if job.done == job.spec.tasks {
                 if !job.ending && !job.chunks.iter().any(|c| c.in_flight) {
                     ends.push(ix);
@@ -121,7 +144,7 @@
             }
             for (chunk, c) in job.chunks.iter().enumerate().filter(|(_, c)| !c.in_flight) {
                 if let Some(due) = c.start_due {
-                    starts.push((std::cmp::Reverse(job.spec.rank), due, ix, chunk));
+                    starts.push((std::cmp::Reverse(job.rank), due, ix, chunk));
                 } else if let Some(since) = c.evidence {
                     if now.since(since) >= self.tun.evidence_delay {
                         lazy.push((since, ix, chunk));
@@ -129,12 +152,11 @@
                 }
             }
         }
-        for some in ends.chunks(ops) {
-            let room = self.writes_left(0.0).min(some.len());
-            if self.txns.len() < most && room > 0 {
-                self.write_ends(&some[..room]);
-            }
-        }
+        // A user was told that these are cancelled with the job before them: nothing goes first.
+        let doomed: Vec<JobIx> = self.chains.doomed.iter().copied().collect();
+        self.write_all_ends(&doomed, End::Aborted);
+        ends.sort_by_key(|&ix| std::cmp::Reverse(self.waited_for(ix)));
+        self.write_all_ends(&ends, End::Done);
         starts.sort_unstable();
         let mut starts = starts.into_iter().peekable();
         while starts.peek().is_some() {
@@ -146,7 +168,7 @@
             let mut batch = Batch::default();
             while !batch.full(room) {
                 let Some((_, _, ix, chunk)) = starts.next() else { break };
-                self.add_chunk(&mut batch, ix, chunk);
+                self.add_chunk(&mut batch, ix, chunk, room);
             }
             self.commit(batch);
         }
@@ -167,7 +189,7 @@
             if batch.full(room) {
                 break;
             }
-            self.add_chunk(&mut batch, ix, chunk);
+            self.add_chunk(&mut batch, ix, chunk, room);
         }
         for ix in over {
             if batch.full(room) {
@@ -182,53 +204,124 @@
         format!("{}-{}", self.term, self.next_id)
     }
 
-    fn add_chunk(&mut self, batch: &mut Batch, ix: JobIx, chunk: usize) {
-        let nonce = self.nonce();
-        let Some(job) = self.jobs.get_mut(&ix) else { return };
+    /// Adds what changed of a chunk. The chunk is written whole where it is small enough a value. One
+    /// that isn't (a former version made chunks for larger values than the service takes by now) stays
+    /// as it is, and those of its tasks that changed go into parts beside it. Each record of either
+    /// kind holds its tasks as they are at that moment and is guarded by its own mark; whoever reads
+    /// them takes, of each task, the one that was written last. So it makes no difference which
+    /// parts were written before a leader ended.
+    fn add_chunk(&mut self, batch: &mut Batch, ix: JobIx, chunk: usize, room: usize) {
+        let Some(job) = self.jobs.get(&ix) else { return };
         let base = chunk as u32 * job.chunk_size;
-        let end = (base + job.chunk_size).min(job.spec.tasks);
-        let mut records = Vec::with_capacity((end - base) as usize);
-        for index in base..end {
+        let end = base.saturating_add(job.chunk_size).min(job.spec.tasks);
+        let value = self.records(ix, base, end);
+        if value.to_string().len() <= self.limits.value_bytes {
+            self.add_records(batch, ix, chunk, None, value, base..end);
+        } else {
+            let size = part_size(self.limits.value_bytes);
+            // By the start of their window, counted from the chunk's: the same windows each time.
+            let windows: std::collections::BTreeSet<u32> =
+                job.changed.range(base..end).map(|i| i - (i - base) % size).collect();
+            if windows.is_empty() {
+                // All of it is written: nothing to wait for an answer to.
+                let state = self.jobs.get_mut(&ix).and_then(|j| j.chunks.get_mut(chunk));
+                if let Some(state) = state {
+                    (state.start_due, state.evidence) = (None, None);
+                }
+                return;
+            }
+            for from in windows {
+                if batch.full(room) {
+                    // The rest of it waits for the next round.
+                    return self.note_chunk(batch, ix, chunk, false);
+                }
+                let to = (from + size).min(end);
+                let value = self.records(ix, from, to);
+                self.add_records(batch, ix, chunk, Some(from), value, from..to);
+            }
+        }
+        self.note_chunk(batch, ix, chunk, true);
+    }
+
+    /// The chunk has something in the batch; whether that is all that it has to write.
+    fn note_chunk(&mut self, batch: &mut Batch, ix: JobIx, chunk: usize, all: bool) {
+        if let Some(state) = self.jobs.get_mut(&ix).and_then(|j| j.chunks.get_mut(chunk)) {
+            state.in_flight = true;
+            if all {
+                state.start_due = None;
+                state.evidence = None;
+            }
+        }
+        batch.chunks.push((ix, chunk));
+    }
+
+    /// The stored form of the job's tasks from one up to another.
+    fn records(&self, ix: JobIx, from: u32, to: u32) -> Value {
+        let Some(job) = self.jobs.get(&ix) else { return Value::Null };
+        let record = |index: u32| {
             let task = &job.tasks[index as usize];
             match task.phase {
-                Phase::Pending if task.attempt == 1 => records.push(json!(0)),
-                Phase::Pending => records.push(json!([0, task.attempt])),
-                Phase::Done => {
-                    if !job.recorded[index as usize] {
-                        batch.finishes.push((ix, index));
-                    }
-                    records.push(json!([5, task.attempt]));
-                }
+                Phase::Pending if task.attempt == 1 => json!(0),
+                Phase::Pending => json!([0, task.attempt]),
+                Phase::Done => json!([5, task.attempt]),
                 phase => {
-                    if phase == Phase::Dispatching && task.token == 0 {
-                        batch.starts.push((ix, index));
-                    }
                     let name = &self.machines[task.machine as usize].name;
                     let placed = task.placed_at.since(job.accepted).0 / PLACED_UNIT.0;
-                    records.push(json!([phase.code(), task.attempt, name, task.session, placed]));
+                    json!([phase.code(), task.attempt, name, task.session, placed])
                 }
             }
+        };
+        json!({"w": self.nonce(), "t": (from..to).map(record).collect::<Vec<Value>>()})
+    }
+
+    fn add_records(
+        &mut self,
+        batch: &mut Batch,
+        ix: JobIx,
+        chunk: usize,
+        part: Option<u32>,
+        value: Value,
+        tasks: std::ops::Range<u32>,
+    ) {
+        let Some(job) = self.jobs.get_mut(&ix) else { return };
+        for index in tasks {
+            let task = &job.tasks[index as usize];
+            if task.phase == Phase::Done && !job.recorded[index as usize] {
+                batch.finishes.push((ix, index));
+            }
+            if task.phase == Phase::Dispatching && task.token == 0 {
+                batch.starts.push((ix, index));
+            }
+            if job.changed.remove(&index) {
+                batch.changed.push((ix, index));
+            }
         }
-        let key = keys::run(&job.name, chunk);
-        let value = json!({"w": nonce, "t": records});
-        batch.bytes += value.to_string().len() + key.len() * 2 + 64;
-        let state = &mut job.chunks[chunk];
-        state.in_flight = true;
-        if state.start_due.take().is_some() {
-            self.tally.starts += 1;
-        } else {
-            self.tally.evidence += 1;
+        let state = &job.chunks[chunk];
+        match state.start_due {
+            Some(_) => self.tally.starts += 1,
+            None => self.tally.evidence += 1,
         }
-        state.evidence = None;
-        batch.txn.guards.push(Guard { key: key.clone(), mark: state.mark });
+        let mut guard = |key: String, mark| {
+            if !batch.txn.guards.iter().any(|g| g.key == key) {
+                batch.txn.guards.push(Guard { key, mark });
+            }
+        };
+        let whole = keys::run(&job.name, chunk);
+        guard(whole.clone(), state.mark);
+        let key = match part {
+            Some(from) => {
+                let key = keys::part(&job.name, chunk, from);
+                guard(key.clone(), job.parts.get(&(chunk, from)).copied().unwrap_or(0));
+                key
+            }
+            None => whole,
+        };
         // After an acknowledged withdrawal nothing can be dispatched: the end's absence is part
         // of the write itself.
-        let end_key = keys::end(&job.name);
-        if !batch.txn.guards.iter().any(|g| g.key == end_key) {
-            batch.txn.guards.push(Guard { key: end_key, mark: 0 });
-        }
+        guard(keys::end(&job.name), 0);
+        batch.bytes += value.to_string().len() + key.len() * 2 + 64;
         batch.txn.apply.push(Change::put(key, value));
-        batch.chunks.push((ix, chunk));
+        batch.written.push((ix, chunk, part));
     }
 
     fn commit(&mut self, batch: Batch) {
@@ -242,19 +335,33 @@
         self.spend_writes(batch.txn.apply.len());
         batch.txn.guards.insert(0, Guard { key: keys::LEADER.into(), mark: self.term });
         self.out.push(Command::Commit { id, txn: batch.txn.clone() });
-        self.txns.insert(id, PendingTxn { batch, nonce, retry_at: None, doubted: false });
+        let (retry_at, doubted, too_large) = (None, false, false);
+        self.txns.insert(id, PendingTxn { batch, nonce, retry_at, doubted, too_large });
+    }
+
+    /// Writes the jobs' ends, as many as may be written now.
+    fn write_all_ends(&mut self, jobs: &[JobIx], end: End) {
+        let open = |ix: &&JobIx| self.job(**ix).is_some_and(|j| !j.ending && !j.over);
+        let jobs: Vec<JobIx> = jobs.iter().filter(open).copied().collect();
+        for some in jobs.chunks(self.limits.txn_ops) {
+            let room = self.writes_left(0.0).min(some.len());
+            if self.txns.len() < self.tun.txns_in_flight as usize && room > 0 {
+                self.write_ends(&some[..room], end);
+            }
+        }
     }
 
-    /// All tasks are done: the jobs' ends, each written once by whoever comes first.
-    fn write_ends(&mut self, jobs: &[JobIx]) {
+    /// The jobs' ends, each written once by whoever comes first: all tasks are done, or a job that
+    /// they need was cancelled.
+    fn write_ends(&mut self, jobs: &[JobIx], end: End) {
         let mut batch = Batch::default();
         for &ix in jobs {
             let Some(job) = self.jobs.get_mut(&ix) else { continue };
             job.ending = true;
             let key = keys::end(&job.name);
             batch.txn.guards.push(Guard { key: key.clone(), mark: 0 });
-            batch.txn.apply.push(Change::put(key, json!("done")));
-            batch.ends.push(ix);
+            batch.txn.apply.push(Change::put(key, json!(end)));
+            batch.ends.push((ix, end));
         }
         self.tally.ends += batch.ends.len();
         self.commit(batch);
@@ -275,12 +382,20 @@
                 chunk.mark = 0;
             }
         }
-        let last = !job.chunks.iter().any(|c| c.mark > 0) && !batch.full(most);
+        let mut parts = Vec::new();
+        while !batch.full(most) {
+            let Some(((chunk, from), _)) = job.parts.pop_first() else { break };
+            batch.txn.apply.push(Change::drop(keys::part(&job.name, chunk, from)));
+            parts.push((chunk, from));
+        }
+        let left = !job.parts.is_empty() || job.chunks.iter().any(|c| c.mark > 0);
+        let last = !left && !batch.full(most);
         if last {
-            batch.txn.apply.push(Change::drop(keys::todo(&job.name)));
+            let key = keys::description(&job.name, !job.spec.needs.is_empty());
+            batch.txn.apply.push(Change::drop(key));
             self.tally.jobs += 1;
         }
-        batch.cleanups.push((ix, last));
+        batch.cleanups.push((ix, last, parts));
         self.tally.drops += batch.txn.apply.len() - before;
     }
 
@@ -304,6 +419,23 @@
                 self.stalled_until = now + Span::millis(300);
                 self.failed(now, pending.batch);
             }
+            Outcome::TooLarge => {
+                // The limits fell. This copy was not executed, and no earlier one will be any more;
+                // but one may have been before they fell.
+                let first = pending.batch.txn.apply.iter().find_map(|change| match change {
+                    Change::Put { put, .. } if put.starts_with(keys::RUN) => Some(put.clone()),
+                    _ => None,
+                });
+                match first {
+                    Some(key) if pending.doubted => {
+                        pending.too_large = true;
+                        self.out.push(Command::Read { id, key });
+                        self.txns.insert(id, pending);
+                    }
+                    // An end or a clean-up that took effect unheard is met by its next try.
+                    _ => self.failed(now, pending.batch),
+                }
+            }
             Outcome::Conflict { failed } => {
                 if failed.iter().any(|k| k == keys::LEADER) {
                     self.out.push(Command::StepDown("another node holds the leader key"));
@@ -320,14 +452,14 @@
                         // With a doubted transaction, most likely its own first copy: the value
                         // tells. Until it is read the outcome stays open.
                         for name in ended {
-                            self.job_over(now, &name);
+                            self.ended_somehow(now, &name);
                         }
                         self.out.push(Command::Read { id, key });
                         self.txns.insert(id, pending);
                     }
                     None => {
                         for name in &ended {
-                            self.job_over(now, name);
+                            self.ended_somehow(now, name);
                         }
                         self.failed(now, pending.batch);
                     }
@@ -348,6 +480,9 @@
             Some((value, mark)) if value["w"] == pending.nonce.as_str() => {
                 self.committed(now, pending.batch, mark);
             }
+            Some((_, mark)) if pending.too_large && pending.expects(mark) => {
+                self.failed(now, pending.batch);
+            }
             Some(_) => {
                 // Under this term only this book writes chunks, so a strange value means that
                 // the book is not what is stored. Reading everything again is the safe way.
@@ -361,10 +496,19 @@
         self.stalled_until = Time(0);
         for &(ix, chunk) in &done.chunks {
             if let Some(job) = self.jobs.get_mut(&ix) {
-                job.chunks[chunk].mark = mark;
                 job.chunks[chunk].in_flight = false;
             }
         }
+        for &(ix, chunk, part) in &done.written {
+            if let Some(job) = self.jobs.get_mut(&ix) {
+                match part {
+                    Some(from) => {
+                        job.parts.insert((chunk, from), mark);
+                    }
+                    None => job.chunks[chunk].mark = mark,
+                }
+            }
+        }
         for &(ix, index) in &done.finishes {
             if let Some(job) = self.jobs.get_mut(&ix) {
                 job.recorded[index as usize] = true;
@@ -373,9 +517,11 @@
         for &id in &done.starts {
             self.send_start(id);
         }
-        for ix in done.ends {
-            if let Some(job) = self.jobs.get_mut(&ix) {
-                job.over = true;
+        for (ix, end) in done.ends {
+            let Some(name) = self.job(ix).map(|j| j.name.clone()) else { continue };
+            if end == End::Aborted {
+                self.note(format!("{name} is cancelled: a job that it needs was"));
+            } else if let Some(job) = self.job(ix) {
                 let deadline = job.spec.deadline_s.map(|d| format!(" of {d:.0} s"));
                 let text = format!(
                     "{} is done after {:.1} s{}: class {}, {} tasks, estimate {:.0} s, ran {:.0} s",
@@ -389,8 +535,10 @@
                 );
                 self.note(text);
             }
+            // Committed, so stored: what waits for it may begin in this very turn.
+            self.job_ended(now, &name, end);
         }
-        for (ix, last) in done.cleanups {
+        for (ix, last, _) in done.cleanups {
             if last {
                 if let Some(job) = self.jobs.remove(&ix) {
                     self.by_ref.remove(&job.name);
@@ -461,17 +609,23 @@
                 job.chunks[chunk].evidence.get_or_insert(now);
             }
         }
+        for &(ix, index) in &failed.changed {
+            if let Some(job) = self.jobs.get_mut(&ix) {
+                job.changed.insert(index);
+            }
+        }
         for &id in &failed.starts {
             self.step(now, id, Input::Retract);
         }
-        for ix in failed.ends {
+        for (ix, _) in failed.ends {
             if let Some(job) = self.jobs.get_mut(&ix) {
                 job.ending = false;
             }
         }
-        for (ix, _) in failed.cleanups {
+        for (ix, _, parts) in failed.cleanups {
             if let Some(job) = self.jobs.get_mut(&ix) {
                 job.dropping = false;
+                job.parts.extend(parts.into_iter().map(|part| (part, 1)));
                 // Which chunks still exist is not known any more; dropping a key that does not
                 // exist does no harm.
                 for chunk in &mut job.chunks {
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -284,7 +284,7 @@
             }
             let boot = self.quickest_boot(ix);
             if urgency.slack > self.tun.rent_slack.as_secs() + boot
-                && now.since(job.accepted) < self.tun.rent_slack
+                && now.since(job.released) < self.tun.rent_slack
                 && self.makes_room_for(now, ix)
             {
                 continue; // Time enough for running work to make room.
@@ -421,7 +421,7 @@
     /// the job sooner than any machine that has yet to boot.
     fn others_can_give_way(&self, ix: JobIx, cpus: f64) -> bool {
         let Some(job) = self.job(ix) else { return false };
-        let lower = self.jobs.values().filter(|j| j.spec.rank < job.spec.rank && !j.over);
+        let lower = self.jobs.values().filter(|j| j.rank < job.rank && !j.over);
         lower.map(|j| f64::from(j.placed) * j.spec.cpus).sum::<f64>() >= cpus
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -2,6 +2,7 @@
 //! output, no clock and no randomness here, so that every history can be played in a test.
 
 pub mod book;
+pub mod chain;
 pub mod dispatch;
 pub mod fleet;
 pub mod health;
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -94,15 +94,19 @@
     pub fn urgency(&self, now: Time, job: &Job) -> Urgency {
         let spec = &job.spec;
         let run = self.expected_run(job);
-        let age = now.since(job.accepted).as_secs();
+        // What a job waited for others is no delay of its own.
+        let age = now.since(job.released).as_secs();
         let mut slack = f64::INFINITY;
         let mut hopeless = false;
         let mut size = 0.0;
-        if let Some(deadline) = spec.deadline_s {
+        if let Some(due) = &job.due {
             // Estimates err by half: only what is far beyond its time is given up, and then the
-            // class's longer deadline counts, if it has one.
-            let least = (age + 0.5 * run) / deadline.max(0.1);
-            slack = deadline * self.site.deadline_times(&spec.class, least) - age - run;
+            // class's longer deadline counts, if it has one. A step of a chain shares the deadline
+            // of the job at its end, and leaves the time for what comes between.
+            let deadline = due.deadline_s;
+            let takes = now.since(due.accepted).as_secs() + due.after_s;
+            let least = (takes + 0.5 * run) / deadline.max(0.1);
+            slack = deadline * self.site.deadline_times(&due.class, least) - takes - run;
             hopeless = slack < -0.5 * run;
         }
         if let Some(within) = self.site.finish_aim(&spec.class) {
@@ -141,18 +145,18 @@
         });
         Urgency {
             lift: self.lift(now, job),
-            rank: spec.rank,
+            rank: job.rank,
             owed,
             hopeless,
             size,
             slack,
             finish_slack,
-            accepted: job.accepted,
+            accepted: job.released,
         }
     }
 
     fn lift(&self, now: Time, job: &Job) -> Lift {
-        let age = now.since(job.accepted);
+        let age = now.since(job.released);
         if !job.begun && job.placed == 0 && age > self.tun.begin_within {
             Lift::Unbegun
         } else if age > self.tun.lift_after {
@@ -172,7 +176,7 @@
             .sum();
         let old = self.jobs.values().filter(|j| j.placed > 0 && !j.over);
         let used: f64 = old
-            .filter(|j| now.since(j.accepted) > self.tun.lift_after)
+            .filter(|j| now.since(j.released) > self.tun.lift_after)
             .map(|j| f64::from(j.placed) * j.spec.cpus)
             .sum();
         all * self.tun.lift_share - used
@@ -184,7 +188,12 @@
             .jobs
             .iter()
             .filter_map(|(&ix, job)| {
-                let open = !job.over && !job.ending && job.pending() > 0 && now >= job.not_before;
+                // One that waits for others is no work yet: it takes no room and asks for none.
+                let open = !job.over
+                    && !job.held()
+                    && !job.ending
+                    && job.pending() > 0
+                    && now >= job.not_before;
                 open.then(|| (self.urgency(now, job), ix))
             })
             .collect();
@@ -451,7 +460,7 @@
         let mut coming = 0.0;
         let mut victims: Vec<(f64, TaskId, f64)> = Vec::new();
         for (&ix, other) in &self.jobs {
-            let lower = other.spec.rank < highest || owed;
+            let lower = other.rank < highest || owed;
             if other.placed == 0 {
                 continue;
             }
@@ -515,8 +524,8 @@
     /// Whether the job is in time as things stand and would not be if a task that has run for
     /// `ran` seconds had to start again.
     fn would_be_late(&self, now: Time, job: &Job, ran: f64) -> bool {
-        let Some(deadline) = job.spec.deadline_s else { return false };
-        let left = deadline - now.since(job.accepted).as_secs();
+        let Some(due) = &job.due else { return false };
+        let left = due.left(now);
         let run = self.expected_run(job);
         left >= (run - ran).max(0.0) && left < run + RESTART
     }
@@ -524,15 +533,17 @@
     /// The protocol's reasons for stopping one job's task for another's. What age has lifted is
     /// left alone while it keeps to its part of the fleet, or it would never get done.
     fn may_stop(&self, urgency: Urgency, job: &Job, other: &Job, old: Option<Time>) -> bool {
-        if old.is_some_and(|before| other.accepted < before) {
+        if old.is_some_and(|before| other.released < before) {
             return false;
         }
         // At last it has begun: its first task is left to its end.
         let first = !other.begun || (other.done == 0 && other.placed == 1);
-        if first && self.last_round.since(other.accepted) > self.tun.begin_within {
+        if first && self.last_round.since(other.released) > self.tun.begin_within {
             return false;
         }
-        if other.spec.rank < job.spec.rank {
+        // A step of a chain counts as what needs it, when it stops others and when others would stop
+        // it: stopped for work below the chain's last job, it would make that job late.
+        if other.rank < job.rank {
             return true;
         }
         if !urgency.owed || other.spec.team == job.spec.team {
--- a/crates/core/src/tunables.rs
+++ b/crates/core/src/tunables.rs
@@ -49,6 +49,9 @@
     pub round_every: Span,
     /// Longest that evidence (finishes, tasks proven absent) waits for company before it is written.
     pub evidence_delay: Span,
+    /// What each later step of a chain is expected to take beyond the run of its slowest task: its
+    /// release, its starts and its images.
+    pub chain_step: Span,
     /// Most transactions of the leader under way at once.
     pub txns_in_flight: u32,
 }
@@ -76,6 +79,7 @@
             slow_factor: 2.0,
             round_every: Span::millis(20),
             evidence_delay: Span::secs(4),
+            chain_step: Span::secs(5),
             txns_in_flight: 4,
         }
     }
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -102,10 +102,39 @@
         checkpoint_s: amount(&map, "stashS")?,
         save_s: amount(&map, "buryS")?,
         deadline_s,
+        needs: waits(&map)?,
     };
     Ok((name, spec))
 }
 
+/// The most jobs that one may wait for. With names of the usual length their list takes a quarter of
+/// the smallest value that a state service is planned to hold.
+pub const MOST_WAITS: usize = 64;
+
+/// The jobs that have to be done first, each once.
+fn waits(map: &Map<String, Value>) -> Result<Vec<String>, BadField> {
+    let items = match map.get("waits") {
+        None | Some(Value::Null) => return Ok(Vec::new()),
+        Some(Value::Array(items)) => items,
+        Some(_) => return Err(bad("waits", "must be a list of job ids or null")),
+    };
+    let mut names: Vec<String> = Vec::new();
+    for item in items {
+        match item.as_str() {
+            Some(name) if is_job_ref(name) => {
+                if !names.iter().any(|n| n == name) {
+                    names.push(name.to_owned());
+                }
+            }
+            _ => return Err(bad("waits", format!("{item} does not look like req-000412"))),
+        }
+        if names.len() > MOST_WAITS {
+            return Err(bad("waits", format!("must name at most {MOST_WAITS} jobs")));
+        }
+    }
+    Ok(names)
+}
+
 fn text(map: &Map<String, Value>, field: &'static str) -> Result<String, BadField> {
     match map.get(field) {
         Some(Value::String(s)) if s.len() <= 256 && !s.is_empty() => Ok(s.clone()),
@@ -470,6 +499,10 @@
             ("together", json!(1)),
             ("harvestS", json!(-2)),
             ("seed", json!("")),
+            ("waits", json!("req-1")),
+            ("waits", json!([1])),
+            ("waits", json!(["job-1"])),
+            ("waits", json!((0..65).map(|i| format!("req-{i}")).collect::<Vec<_>>())),
         ];
         for (field, value) in cases {
             let mut body = sample();
@@ -487,6 +520,23 @@
         assert_eq!(parse_submission(b"{").expect_err("cut").field, "body");
     }
 
+    #[test]
+    fn what_a_job_waits_for_is_read_once_each() {
+        let mut body = sample();
+        for (waits, read) in [
+            (json!(null), vec![]),
+            (json!([]), vec![]),
+            (json!(["req-2", "req-1", "req-2"]), vec!["req-2", "req-1"]),
+        ] {
+            body["waits"] = waits;
+            let (_, spec) = parse_submission(body.to_string().as_bytes()).expect("valid");
+            assert_eq!(spec.needs, read);
+        }
+        // Named too often is no fault while they are few.
+        body["waits"] = json!(vec!["req-1"; 500]);
+        assert!(parse_submission(body.to_string().as_bytes()).is_ok());
+    }
+
     #[test]
     fn task_names_are_split_strictly() {
         assert_eq!(split_task("req-000412/3"), Some(("req-000412", 3)));
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -7,11 +7,14 @@
 
 use serde_json::{json, Value};
 use walnutlug_core::book::{chunk_size, todo_value, Command, DirectOutcome, Outcome, Scheduler};
+use walnutlug_core::chain::Found;
 use walnutlug_core::job::{keys, JobSpec, Rank, Team};
 use walnutlug_core::leadership::token;
 use walnutlug_core::time::{Span, Time};
 use walnutlug_core::tunables::{Site, Tunables};
-use walnutlug_core::wire::{Call, Cause, Change, MachineType, Report, TaskReport, TaskStage, Txn};
+use walnutlug_core::wire::{
+    Call, Cause, Change, MachineType, Pair, Report, TaskReport, TaskStage, Txn,
+};
 
 /// The test's clock at its start, and the time of day then.
 const START: u64 = 1 << 40;
@@ -48,6 +51,21 @@
         Outcome::Committed { mark: self.growth }
     }
 
+    pub fn pairs(&self, prefix: &str) -> Vec<Pair> {
+        let found = self.keys.iter().filter(|(k, _)| k.starts_with(prefix));
+        found.map(|(k, (v, mark))| Pair { key: k.clone(), value: v.clone(), mark: *mark }).collect()
+    }
+
+    /// How the jobs stand, for a leader that asks.
+    pub fn ends(&self, names: &[String]) -> Vec<(String, Found)> {
+        let find = |name: &String| match self.keys.get(&keys::end(name)) {
+            Some((end, _)) => Found::Ended(serde_json::from_value(end.clone()).expect("an end")),
+            None if self.keys.contains_key(&keys::job(name)) => Found::Open,
+            None => Found::Missing,
+        };
+        names.iter().map(|n| (n.clone(), find(n))).collect()
+    }
+
     pub fn put(&mut self, key: &str, value: Value) -> u64 {
         self.growth += 1;
         self.keys.insert(key.to_owned(), (value, self.growth));
@@ -193,6 +211,7 @@
         checkpoint_s: 0.0,
         save_s: 0.0,
         deadline_s: Some(100.0),
+        needs: Vec::new(),
     }
 }
 
@@ -261,7 +280,7 @@
     pub fn submit(&mut self, name: &str, spec: &JobSpec) {
         let value = todo_value(spec, self.wall_us(), chunk_size(site().value_bytes));
         self.store.put(&keys::job(name), json!(1));
-        self.store.put(&keys::todo(name), value.clone());
+        self.store.put(&keys::description(name, !spec.needs.is_empty()), value.clone());
         let wall = self.wall_us();
         self.leader.add_job(self.now, name, &value, wall);
     }
@@ -331,6 +350,10 @@
                     Command::Direct { machine, token, session, calls, .. } => {
                         self.deliver(machine, token, session, &calls);
                     }
+                    Command::FindEnds { names } => {
+                        let found = self.store.ends(&names);
+                        self.leader.ends_found(self.now, &found);
+                    }
                     Command::Read { id, key } => {
                         let found = self.store.keys.get(&key).cloned();
                         let answer = found.unwrap_or((Value::Null, 0));
@@ -376,20 +399,16 @@
         let term = self.store.put(keys::LEADER, json!("next"));
         let mut s =
             Scheduler::new(Rc::new(site()), Rc::new(Tunables::default()), term, types(), self.now);
-        for (key, (value, mark)) in &self.store.keys {
-            if let Some(name) = key.strip_prefix(keys::TODO) {
+        for (key, (value, _)) in &self.store.keys {
+            if let Some(name) = keys::described(key) {
                 s.add_job(self.now, name, value, self.wall_us());
-                let _ = mark;
-            }
-        }
-        for (key, (value, mark)) in &self.store.keys {
-            if key.starts_with(keys::RUN) {
-                assert!(s.load_chunk(self.now, key, value, *mark), "{key}");
             }
         }
-        for key in self.store.keys.keys() {
-            if let Some(name) = key.strip_prefix(keys::END) {
-                s.job_over(self.now, name);
+        assert_eq!(s.load_runs(self.now, &self.store.pairs(keys::RUN)), Vec::<String>::new());
+        let names: Vec<String> = s.by_ref.keys().cloned().collect();
+        for name in names {
+            if self.store.keys.contains_key(&keys::end(&name)) {
+                s.job_over(self.now, &name);
             }
         }
         self.commands.clear();
--- a/crates/walnutlug/src/node.rs
+++ b/crates/walnutlug/src/node.rs
@@ -114,8 +114,8 @@
             state: State::new(
                 client.clone(),
                 settings.state,
-                settings.state_rps,
-                settings.state_write_rps,
+                settings.state_limits,
+                settings.state_next,
             ),
             cloud: Cloud::new(client.clone(), settings.cloud, settings.cloud_rps),
             client,
--- a/crates/walnutlug/src/node/lead.rs
+++ b/crates/walnutlug/src/node/lead.rs
@@ -6,6 +6,7 @@
 use tokio::time::{sleep, timeout, Duration, Instant};
 use tracing::{debug, info, warn};
 use walnutlug_core::book::{Command, Outcome, Scheduler};
+use walnutlug_core::chain::Found;
 use walnutlug_core::job::{keys, End};
 use walnutlug_core::leadership::{Input, Role};
 use walnutlug_core::time::{Span, Time};
@@ -121,7 +122,7 @@
                 _ => None,
             }
         }
-        Outcome::Refused => None,
+        Outcome::Refused | Outcome::TooLarge => None,
     }
 }
 
@@ -188,20 +189,18 @@
         node.types.borrow().clone(),
         node.now(),
     );
-    let (todo, growth) = retry(node, keys::TODO).await?;
+    let (todo, growth) = retry(node, keys::DESCRIPTIONS).await?;
     let (runs, _) = retry(node, keys::RUN).await?;
     let (now, wall) = (node.now(), node.wall_us());
     for pair in &todo {
-        if let Some(name) = pair.key.strip_prefix(keys::TODO) {
+        if let Some(name) = keys::described(&pair.key) {
             s.add_job(now, name, &pair.value, wall);
         }
     }
-    for pair in &runs {
-        if !s.load_chunk(now, &pair.key, &pair.value, pair.mark) {
-            // Descriptions are dropped last, so this is damage from outside. Whatever it places is
-            // strange to the book and will be stopped where it reports.
-            warn!("stored {} belongs to no job and is passed over", pair.key);
-        }
+    for key in s.load_runs(now, &runs) {
+        // Descriptions are dropped last, so this is damage from outside. Whatever it places is
+        // strange to the book and will be stopped where it reports.
+        warn!("stored {key} belongs to no job and is passed over");
     }
     let open: Vec<String> = s.by_ref.keys().cloned().collect();
     loop {
@@ -233,7 +232,7 @@
     if !node.leadership.borrow_mut().step(node.now(), Input::Loaded { term }) {
         return Err(StateError::Gone);
     }
-    for prefix in [keys::TODO, keys::END] {
+    for prefix in [keys::DESCRIPTIONS, keys::END] {
         tokio::task::spawn_local(watch(node.clone(), term, prefix, growth));
     }
     tokio::task::spawn_local(list_machines(node.clone(), term));
@@ -243,9 +242,9 @@
 
 /// Which of the jobs have ended, by comparing: the ends of all jobs ever are never listed.
 async fn ended_of(node: &Node, mut open: Vec<String>) -> Result<Vec<String>, StateError> {
-    let most = (node.site.txn_ops * 4).min(200);
     let mut found = Vec::new();
     while !open.is_empty() {
+        let most = node.state.most_guards();
         let batch = &open[open.len().saturating_sub(most)..];
         let txn = Txn {
             guards: batch.iter().map(|n| Guard { key: keys::end(n), mark: 0 }).collect(),
@@ -264,13 +263,36 @@
                     failed.iter().filter_map(|k| k.strip_prefix(keys::END)).map(str::to_owned),
                 );
             }
-            Outcome::Refused => return Err(StateError::Refused),
+            Outcome::Refused | Outcome::TooLarge => return Err(StateError::Refused),
             Outcome::Lost => return Err(StateError::Lost),
         }
     }
     Ok(found)
 }
 
+/// How the jobs stand by what is stored, as far as it can be read.
+async fn find_ends(node: &Node, names: Vec<String>) -> Vec<(String, Found)> {
+    let mut found = Vec::new();
+    let Ok(ended) = ended_of(node, names.clone()).await else { return found };
+    for name in &ended {
+        if let Ok(Some(end)) = node.state.end(name).await {
+            found.push((name.clone(), Found::Ended(end)));
+        }
+    }
+    let open: Vec<String> = names.into_iter().filter(|n| !ended.contains(n)).collect();
+    for name in open {
+        // What is in the book was accepted; of anything else, the proof is looked for once.
+        let known = node.scheduler.borrow().as_ref().is_some_and(|s| s.by_ref.contains_key(&name));
+        if known {
+            found.push((name, Found::Open));
+        } else if let Ok(proof) = node.state.get(Class::Dispatch, &keys::job(&name)).await {
+            let state = if proof.is_some() { Found::Open } else { Found::Missing };
+            found.push((name, state));
+        }
+    }
+    found
+}
+
 /// Reads the truth again, now and then: jobs that are to be done, and which of them have ended. The
 /// watches tell the same sooner; but no job may hang on one message that was lost.
 async fn reconcile(node: Rc<Node>, term: u64) {
@@ -289,7 +311,7 @@
 }
 
 async fn reconcile_once(node: &Rc<Node>, term: u64) -> Result<(), StateError> {
-    let (todo, _) = node.state.list(Class::Poll, keys::TODO).await?;
+    let (todo, _) = node.state.list(Class::Poll, keys::DESCRIPTIONS).await?;
     let (now, wall) = (node.now(), node.wall_us());
     let open = {
         let mut scheduler = node.scheduler.borrow_mut();
@@ -297,13 +319,16 @@
         for pair in &todo {
             // One that was cleaned up since the list was read comes back here as a job to do; the
             // guard on its end then fails, and it is cleaned up again.
-            if let Some(name) = pair.key.strip_prefix(keys::TODO) {
+            if let Some(name) = keys::described(&pair.key) {
                 if !s.by_ref.contains_key(name) && s.add_job(now, name, &pair.value, wall) {
                     info!(job = %name, "found by reading the records again");
                 }
             }
         }
-        s.open_jobs()
+        // What others wait for may not be in the book: its end has to be heard of all the same.
+        let needs = s.open_needs().into_iter().filter(|n| !s.by_ref.contains_key(n));
+        let needs: Vec<String> = needs.collect();
+        [s.open_jobs(), needs].concat()
     };
     for name in ended_of(node, open).await? {
         if let Some(end) = node.state.end(&name).await? {
@@ -366,7 +391,7 @@
                 let (now, wall) = (node.now(), node.wall_us());
                 for event in &watched.events {
                     let WatchEvent::Put { put, value, .. } = event else { continue };
-                    if let Some(name) = put.strip_prefix(keys::TODO) {
+                    if let Some(name) = keys::described(put) {
                         if let Some(s) = node.scheduler.borrow_mut().as_mut() {
                             s.add_job(now, name, value, wall);
                         }
@@ -429,6 +454,8 @@
             }
             let (left, most) = node.state.writes_left();
             s.allow_writes(left, most);
+            let limits = node.state.limits();
+            s.set_limits(limits.value_bytes, limits.txn_ops);
             // By this node's own clock, and from before the request was sent, so never too long.
             s.in_office = Instant::now() < node.lease_until.get();
             s.tick(now);
@@ -493,6 +520,12 @@
                 with_scheduler(&node, term, |s, now| s.read_answer(now, id, answer));
             });
         }
+        Command::FindEnds { names } => {
+            tokio::task::spawn_local(async move {
+                let found = find_ends(&node, names).await;
+                with_scheduler(&node, term, |s, now| s.ends_found(now, &found));
+            });
+        }
         Command::Direct { machine, address, token, session, calls } => {
             tokio::task::spawn_local(async move {
                 let outcome = workers::direct(&node.client, &address, token, session, &calls).await;
--- a/crates/walnutlug/src/script.rs
+++ b/crates/walnutlug/src/script.rs
@@ -114,6 +114,7 @@
     f.number("slow_factor", &mut t.slow_factor, 1.1, 100.0);
     f.span("round_every", &mut t.round_every, 0.005, 10.0);
     f.span("evidence_delay", &mut t.evidence_delay, 0.1, 600.0);
+    f.span("chain_step", &mut t.chain_step, 0.0, 3_600.0);
     f.count("txns_in_flight", &mut t.txns_in_flight, 1, 64);
     for pair in table.pairs::<Value, Value>() {
         let Ok((key, _)) = pair else { continue };
--- a/crates/walnutlug/src/settings.rs
+++ b/crates/walnutlug/src/settings.rs
@@ -24,8 +24,9 @@
     pub cloud: SocketAddrV4,
     pub state: SocketAddrV4,
     pub site: Site,
-    pub state_rps: f64,
-    pub state_write_rps: f64,
+    pub state_limits: crate::state::Limits,
+    /// What the state service may come down to at any time.
+    pub state_next: Option<crate::state::Limits>,
     pub cloud_rps: f64,
     pub fd_limit: u32,
 }
@@ -115,6 +116,24 @@
         }
     }
 
+    /// The state service's limits. Where there are limits to fall back on, each may be left out.
+    fn limits(&mut self, path: &str, known: Option<crate::state::Limits>) -> crate::state::Limits {
+        let mut one = |field: &str, least: f64, most: f64, known: Option<f64>| {
+            let path = format!("{path}.{field}");
+            match (self.at(&path), known) {
+                (Value::Null, Some(known)) => known,
+                _ => self.number(&path, least, most),
+            }
+        };
+        let kb = one("value_kb", 1.0, 64.0, known.map(|k| k.value_bytes as f64 / 1024.0));
+        crate::state::Limits {
+            rps: one("rps", 1.0, 1.0e6, known.map(|k| k.rps)),
+            write_rps: one("write_rps", 1.0, 1.0e6, known.map(|k| k.write_rps)),
+            value_bytes: (kb * 1024.0) as usize,
+            txn_ops: one("txn_ops", 2.0, 10_000.0, known.map(|k| k.txn_ops as f64)) as usize,
+        }
+    }
+
     fn fault<T: Default>(&mut self, path: &str, what: &str) -> T {
         self.faults.push(format!("settings: {path}: {what}"));
         T::default()
@@ -242,10 +261,13 @@
         }
         let report_s = r.number("facts.workers.report_s", 0.1, 3_600.0);
         let lease_s = r.number("facts.workers.lease_s", 0.5, 86_400.0);
-        let state_rps = r.number("facts.state.rps", 1.0, 1.0e6);
-        let state_write_rps = r.number("facts.state.write_rps", 1.0, 1.0e6);
-        let value_kb = r.number("facts.state.value_kb", 1.0, 64.0);
-        let txn_ops = r.number("facts.state.txn_ops", 2.0, 10_000.0);
+        let state_limits = r.limits("facts.state", None);
+        let state_next = match r.at("facts.state.next") {
+            Value::Null => None,
+            Value::Object(_) => Some(r.limits("facts.state.next", Some(state_limits))),
+            _ => r.fault("facts.state.next", "must be an object"),
+        };
+        let smaller = state_next.map_or(state_limits, |next| next.least(state_limits));
         let cloud_rps = r.number("facts.cloud.rps", 0.1, 1.0e6);
         let list_lag_s = r.number("facts.cloud.list_lag_s", 0.0, 3_600.0);
         let fd_limit = r.number("facts.resources.fd_limit", 1.0, 1.0e7);
@@ -273,13 +295,14 @@
                 objectives,
                 report: Span::from_secs(report_s),
                 lease: Span::from_secs(lease_s),
-                value_bytes: (value_kb * 1024.0) as usize,
-                txn_ops: txn_ops as usize,
+                // New jobs are kept in a form that fits whatever comes.
+                value_bytes: smaller.value_bytes,
+                txn_ops: smaller.txn_ops,
                 list_lag: Span::from_secs(list_lag_s),
                 most_messages: Sockets::share(fd_limit as u32).messages as usize,
             },
-            state_rps,
-            state_write_rps,
+            state_limits,
+            state_next,
             cloud_rps,
             fd_limit: fd_limit as u32,
         })
--- a/crates/walnutlug/src/state.rs
+++ b/crates/walnutlug/src/state.rs
@@ -54,6 +54,33 @@
     }
 }
 
+/// What the service takes, as the platform's file tells.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Limits {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_bytes: usize,
+    pub txn_ops: usize,
+}
+
+impl Limits {
+    /// The smaller of each.
+    pub fn least(self, other: Limits) -> Limits {
+        Limits {
+            rps: self.rps.min(other.rps),
+            write_rps: self.write_rps.min(other.write_rps),
+            value_bytes: self.value_bytes.min(other.value_bytes),
+            txn_ops: self.txn_ops.min(other.txn_ops),
+        }
+    }
+}
+
+/// Refusals for the rate within [`PROOF_WITHIN`] that prove the rate to have fallen.
+const PROOF: u32 = 5;
+const PROOF_WITHIN: Duration = Duration::from_secs(10);
+/// The least that is ever assumed after a refusal for size that nothing foretold.
+const LEAST_VALUE: usize = 512;
+
 /// Two token buckets of one second's worth each.
 struct Pacer {
     rps: f64,
@@ -100,8 +127,13 @@
     client: Rc<Client>,
     addr: SocketAddrV4,
     pacer: RefCell<Pacer>,
-    rps: f64,
-    wps: f64,
+    /// What the service takes as far as is known, and what it may come down to without notice.
+    now: Cell<Limits>,
+    next: Limits,
+    fallen: Cell<bool>,
+    /// Refusals for the rate, and since when they are counted.
+    refusals: Cell<(u32, Instant)>,
+    leading: Cell<bool>,
     last_ok: Cell<Instant>,
     last_fault: Cell<Option<Instant>>,
 }
@@ -113,15 +145,26 @@
 const ANSWER: Duration = Duration::from_millis(900);
 
 impl State {
-    pub fn new(client: Rc<Client>, addr: SocketAddrV4, rps: f64, wps: f64) -> State {
+    pub fn new(
+        client: Rc<Client>,
+        addr: SocketAddrV4,
+        limits: Limits,
+        next: Option<Limits>,
+    ) -> State {
         let now = Instant::now();
-        let pacer = Pacer { rps: rps * 0.3, wps: wps * 0.3, requests: 5.0, writes: 2.0, last: now };
+        let (rps, wps) = (limits.rps * 0.3, limits.write_rps * 0.3);
+        let pacer = Pacer { rps, wps, requests: 5.0, writes: 2.0, last: now };
+        let next = next.map_or(limits, |n| n.least(limits));
         State {
             client,
             addr,
             pacer: RefCell::new(pacer),
-            rps,
-            wps,
+            // Smaller transactions cost a few more requests, of which there are plenty.
+            now: Cell::new(Limits { txn_ops: next.txn_ops, ..limits }),
+            next,
+            fallen: Cell::new(next == limits),
+            refusals: Cell::new((0, now)),
+            leading: Cell::new(false),
             last_ok: Cell::new(now),
             last_fault: Cell::new(None),
         }
@@ -129,10 +172,72 @@
 
     /// The leader does most of the work and gets most of the common allowance.
     pub fn lead(&self, leading: bool) {
+        self.leading.set(leading);
         let part = if leading { 0.8 } else { 0.25 };
         let mut pacer = self.pacer.borrow_mut();
-        pacer.rps = (self.rps * part).max(2.0);
-        pacer.wps = (self.wps * part).max(2.0);
+        pacer.rps = (self.now.get().rps * part).max(2.0);
+        pacer.wps = (self.now.get().write_rps * part).max(2.0);
+    }
+
+    /// What the service takes now, as far as is known.
+    pub fn limits(&self) -> Limits {
+        self.now.get()
+    }
+
+    /// Conditions in one transaction that only compares.
+    pub fn most_guards(&self) -> usize {
+        (self.now.get().txn_ops * 4).min(200)
+    }
+
+    /// The service has come down to its next limits. They hold from here on, for all of this
+    /// process's life.
+    fn fall(&self, why: &str) {
+        let next = self.next;
+        self.fallen.set(true);
+        self.now.set(next);
+        self.lead(self.leading.get());
+        tracing::warn!(
+            value_bytes = next.value_bytes,
+            txn_ops = next.txn_ops,
+            write_rps = next.write_rps,
+            "the state service has lowered its limits ({why})"
+        );
+    }
+
+    /// A value or a transaction was refused for its size. Such a refusal is certain, and would come
+    /// again: what is sent from now on is smaller.
+    fn too_large(&self) {
+        if !self.fallen.get() {
+            return self.fall("it refused a transaction for its size");
+        }
+        let mut now = self.now.get();
+        if now.value_bytes <= LEAST_VALUE && now.txn_ops == 1 {
+            return;
+        }
+        now.value_bytes = (now.value_bytes / 2).max(LEAST_VALUE);
+        now.txn_ops = (now.txn_ops / 2).max(1);
+        self.now.set(now);
+        tracing::warn!(
+            value_bytes = now.value_bytes,
+            txn_ops = now.txn_ops,
+            "the state service takes less than the settings say: smaller transactions from now on"
+        );
+    }
+
+    /// A refusal for the rate, which all nodes share. Several at once, while every node keeps to its
+    /// part, mean that there is less to share.
+    fn too_often(&self) {
+        if self.fallen.get() {
+            return;
+        }
+        let now = Instant::now();
+        let (count, since) = self.refusals.get();
+        let fresh = now.duration_since(since) < PROOF_WITHIN;
+        let (count, since) = if fresh { (count + 1, since) } else { (1, now) };
+        self.refusals.set((count, since));
+        if count >= PROOF {
+            self.fall("it refused requests for their rate");
+        }
     }
 
     /// How long so many changes take at this node's share of the write rate.
@@ -206,6 +311,7 @@
                     // Not executed. The limits are shared, so some other node spent them: what
                     // this one thought it had left is not there.
                     self.pacer.borrow_mut().spent();
+                    self.too_often();
                     let jitter = rand::random_range(40..160);
                     sleep(Duration::from_millis(jitter)).await;
                     if Instant::now() > give_up {
@@ -288,8 +394,12 @@
             },
             Ok(r) if r.status == 400 => {
                 let text = String::from_utf8_lossy(&r.body).into_owned();
-                tracing::error!("the state service calls a transaction malformed: {text}");
-                Outcome::Refused
+                if text.contains("no such lease") {
+                    return Outcome::Refused;
+                }
+                tracing::warn!("the state service refuses a transaction as it is: {text}");
+                self.too_large();
+                Outcome::TooLarge
             }
             Ok(_) => Outcome::Lost,
             Err(StateError::Refused | StateError::Gone) => Outcome::Refused,
--- a/crates/walnutlug/src/users.rs
+++ b/crates/walnutlug/src/users.rs
@@ -4,7 +4,7 @@
 //! No answer is ever older than one that any node gave before: an end never changes, and "not ended" is said only after the state service confirmed it.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::rc::Rc;
 
 use tokio::sync::oneshot;
@@ -20,9 +20,10 @@
 use crate::state::{Class, State};
 
 /// What this node knows of a job for certain.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 enum Known {
-    Accepted,
+    /// With the jobs that it needs, once they are read: they never change.
+    Accepted(Option<Rc<[String]>>),
     Ended(End),
 }
 
@@ -46,6 +47,9 @@
 struct Waiting {
     name: String,
     value: serde_json::Value,
+    needs: Rc<[String]>,
+    /// A job that it needs is cancelled: it is accepted, and ends with that.
+    aborted: bool,
     reply: oneshot::Sender<Accept>,
 }
 
@@ -65,6 +69,8 @@
 const CHECK_EVERY: Duration = Duration::from_millis(120);
 /// An acceptance whose answer takes longer is sent once more.
 const SECOND_COPY_AFTER: Duration = Duration::from_millis(70);
+/// How long a submission waits to hear how the jobs stand that it names, if all are known.
+const LOOK_WITHIN: Duration = Duration::from_millis(80);
 /// Slower submissions are worth a line when debugging.
 const SLOW_MS: u64 = 150;
 /// After this long an undecided request is refused, to be repeated by its user.
@@ -78,24 +84,53 @@
             // Only a memory of what the state service keeps for ever: it is asked again.
             map.clear();
         }
-        match map.get(name) {
-            Some(Known::Ended(_)) => {}
+        if matches!(known, Known::Ended(_)) {
+            self.progress.borrow_mut().remove(name);
+        }
+        match (map.get(name), &known) {
+            (Some(Known::Ended(_)), _) => {}
+            (Some(Known::Accepted(Some(_))), Known::Accepted(None)) => {}
             _ => {
                 map.insert(name.to_owned(), known);
             }
         }
-        if matches!(known, Known::Ended(_)) {
-            self.progress.borrow_mut().remove(name);
-        }
     }
 
     fn known(&self, name: &str) -> Option<Known> {
-        self.known.borrow().get(name).copied()
+        self.known.borrow().get(name).cloned()
+    }
+
+    fn ended(&self, name: &str) -> Option<End> {
+        match self.known.borrow().get(name) {
+            Some(Known::Ended(end)) => Some(*end),
+            _ => None,
+        }
+    }
+
+    /// The job itself and all that it needs, directly or through others, as far as is known here;
+    /// what is done, and what stands before that, can't hold it up any more.
+    fn chain(&self, name: &str) -> Vec<String> {
+        let known = self.known.borrow();
+        let mut found: Vec<String> = vec![name.to_owned()];
+        let mut seen: HashSet<&str> = HashSet::from([name]);
+        let mut next = 0;
+        while next < found.len() {
+            if let Some((_, Known::Accepted(Some(needs)))) = known.get_key_value(&found[next]) {
+                for need in needs.iter() {
+                    let done = matches!(known.get(need), Some(Known::Ended(End::Done)));
+                    if !done && seen.insert(need) {
+                        found.push(need.clone());
+                    }
+                }
+            }
+            next += 1;
+        }
+        found
     }
 
     /// A job's counts, as the leader tells them; for display.
     pub fn progress(&self, name: &str, done: u32, running: u32) {
-        if !is_job_ref(name) || self.known(name).is_some_and(|k| k != Known::Accepted) {
+        if !is_job_ref(name) || self.ended(name).is_some() {
             return;
         }
         let mut progress = self.progress.borrow_mut();
@@ -130,30 +165,32 @@
     let Some(fault) = impossible(&node, &spec) else {
         return Answer::later("the machine types are not known yet");
     };
+    let own = || format!("waits: {name} can't wait for itself");
+    let fault = fault.or_else(|| spec.needs.contains(&name).then(own));
     if let Some(fault) = fault {
-        // A job that was accepted once is never refused, whatever has changed since.
-        if node.state.down() {
-            return Answer::later("the state service can't be reached");
-        }
-        return match node.state.get(Class::Submission, &keys::job(&name)).await {
-            Ok(None) => {
-                info!(job = %name, "refused: {fault}");
-                Answer::error(422, fault)
-            }
-            Ok(Some(_)) => {
-                node.desk.learn(&name, Known::Accepted);
-                known_answer(&node, &name).await
-            }
-            Err(e) => Answer::later(&e.to_string()),
-        };
+        return refuse_new(&node, &name, fault).await;
     }
     if node.state.down() {
         return Answer::later("the state service can't be reached");
     }
+    let mut spec = spec;
+    let mut aborted = false;
+    if !spec.needs.is_empty() {
+        match look_at_needs(&node, &spec.needs).await {
+            Needs::Open(needs) => spec.needs = needs,
+            Needs::Aborted => aborted = true,
+            Needs::Missing(need) => {
+                let fault = format!("waits: nobody submitted {need}");
+                return refuse_new(&node, &name, fault).await;
+            }
+            Needs::Unclear => return Answer::later("the jobs it waits for can't be read now"),
+        }
+    }
     let chunk = chunk_size(node.settings.site.value_bytes);
     let value = todo_value(&spec, node.wall_us(), chunk);
-    if value.to_string().len() > node.settings.site.value_bytes {
-        return Answer::error(400, "breeds: the description is too long to be kept");
+    let most = node.state.limits().value_bytes.min(node.settings.site.value_bytes);
+    if value.to_string().len() > most {
+        return Answer::error(400, "breeds, waits: the description is too long to be kept");
     }
     // What can't be written in time is told so at once, and when to come again.
     let wait = node.state.time_for(2 * node.desk.submissions.borrow().len());
@@ -161,7 +198,9 @@
         return Answer::later_by(wait.as_secs() as u32, "too many submissions at once");
     }
     let (reply, answer) = oneshot::channel();
-    node.desk.submissions.borrow_mut().push(Waiting { name: name.clone(), value, reply });
+    let needs: Rc<[String]> = spec.needs.into();
+    let waiting = Waiting { name: name.clone(), value, needs, aborted, reply };
+    node.desk.submissions.borrow_mut().push(waiting);
     start_submitting(&node);
     let accepted = tokio::time::timeout(DECIDE_WITHIN, answer).await;
     let ms = started.elapsed().as_millis() as u64;
@@ -170,12 +209,71 @@
         debug!(job = %name, ms, accepted = matches!(accepted, Ok(Ok(_))), "a slow submission");
     }
     match accepted {
-        Ok(Ok(Accept::New)) => Answer::json(201, &job_answer(&name, Stage::Queued, None)),
+        Ok(Ok(Accept::New)) => {
+            let stage = node.desk.ended(&name).map_or(Stage::Queued, ended_stage);
+            Answer::json(201, &job_answer(&name, stage, None))
+        }
         Ok(Ok(Accept::Known)) => known_answer(&node, &name).await,
         _ => Answer::later("the submission can't be recorded now"),
     }
 }
 
+/// Refuses what can never run, unless it was accepted once: then it is never refused, whatever has
+/// changed since.
+async fn refuse_new(node: &Rc<Node>, name: &str, fault: String) -> Answer {
+    if node.state.down() {
+        return Answer::later("the state service can't be reached");
+    }
+    match node.state.get(Class::Submission, &keys::job(name)).await {
+        Ok(None) => {
+            info!(job = %name, "refused: {fault}");
+            Answer::error(422, fault)
+        }
+        Ok(Some(_)) => {
+            node.desk.learn(name, Known::Accepted(None));
+            known_answer(node, name).await
+        }
+        Err(e) => Answer::later(&e.to_string()),
+    }
+}
+
+/// What a new job has to wait for.
+enum Needs {
+    /// These, which may end at any time; none, if all are done.
+    Open(Vec<String>),
+    /// One that is cancelled, or stands behind one.
+    Aborted,
+    /// One that was certainly never accepted.
+    Missing(String),
+    Unclear,
+}
+
+/// Reads how the jobs stand that a new one names. Those whose stored end is `done` are left out: an
+/// end never changes. Where all are known to be accepted a slow answer isn't waited for: whatever was
+/// cancelled meanwhile the leader finds.
+async fn look_at_needs(node: &Rc<Node>, needs: &[String]) -> Needs {
+    let known = needs.iter().all(|n| node.desk.known(n).is_some());
+    let looked = check(node, needs.to_vec(), Class::Submission);
+    tokio::pin!(looked);
+    let found = match tokio::time::timeout(LOOK_WITHIN, &mut looked).await {
+        Ok(found) => found,
+        Err(_) if known => HashMap::new(),
+        Err(_) => looked.await,
+    };
+    let mut open = Vec::new();
+    for need in needs {
+        match found.get(need).copied().unwrap_or(Status::Unclear) {
+            Status::NeverAccepted => return Needs::Missing(need.clone()),
+            Status::Ended(End::Aborted) => return Needs::Aborted,
+            Status::Ended(End::Done) => {}
+            Status::Open => open.push(need.clone()),
+            Status::Unclear if known => open.push(need.clone()),
+            Status::Unclear => return Needs::Unclear,
+        }
+    }
+    Needs::Open(open)
+}
+
 /// Why the job can never run; `None` while that can't be decided.
 fn impossible(node: &Node, spec: &JobSpec) -> Option<Option<String>> {
     let types = node.types.borrow();
@@ -223,7 +321,7 @@
                 let mut queue = node.desk.submissions.borrow_mut();
                 // Who has stopped waiting was told to come again.
                 queue.retain(|w| !w.reply.is_closed());
-                let most = (node.settings.site.txn_ops / 2).max(1);
+                let most = (node.state.limits().txn_ops / 2).max(1);
                 let mut bytes = 0;
                 let mut n = 0;
                 for w in queue.iter().take(most) {
@@ -256,12 +354,22 @@
             names.push(&w.name);
             txn.guards.push(Guard { key: keys::job(&w.name), mark: 0 });
             txn.apply.push(Change::put(keys::job(&w.name), serde_json::json!(1)));
-            txn.apply.push(Change::put(keys::todo(&w.name), w.value.clone()));
+            if w.aborted {
+                // Accepted and over at once: there is nothing to do about it.
+                txn.apply.push(Change::put(keys::end(&w.name), serde_json::json!(End::Aborted)));
+            } else {
+                let key = keys::description(&w.name, !w.needs.is_empty());
+                txn.apply.push(Change::put(key, w.value.clone()));
+            }
         }
         match commit_twice(node, &txn).await {
             Outcome::Committed { .. } => {
                 for w in batch.drain(..) {
-                    node.desk.learn(&w.name, Known::Accepted);
+                    if w.aborted {
+                        node.learn_end(&w.name, End::Aborted);
+                    } else {
+                        node.desk.learn(&w.name, Known::Accepted(Some(w.needs.clone())));
+                    }
                     node.tell_peers(&Frame::NewJob { job: w.name.clone() });
                     let _ = w.reply.send(Accept::New);
                 }
@@ -278,12 +386,21 @@
                 }
                 batch = rest;
                 for w in known {
-                    node.desk.learn(&w.name, Known::Accepted);
+                    // Perhaps by another node, which saw what it needs in another state.
+                    node.desk.learn(&w.name, Known::Accepted(None));
                     let _ = w.reply.send(Accept::Known);
                 }
             }
             Outcome::Lost if Instant::now() < deadline => {}
-            Outcome::Lost | Outcome::Refused => {
+            Outcome::TooLarge if batch.len() > 1 => {
+                // Each may go alone. What is refused even so is told to come again, and then keeps to
+                // the limits that were learned by it.
+                for w in batch {
+                    Box::pin(accept(node, vec![w])).await;
+                }
+                return;
+            }
+            Outcome::Lost | Outcome::Refused | Outcome::TooLarge => {
                 reply_all(batch, Accept::Unclear);
                 return;
             }
@@ -332,7 +449,7 @@
 
 /// How the job stands, as of now: ended jobs from memory, all others by asking.
 async fn status(node: &Rc<Node>, name: &str) -> Status {
-    if let Some(Known::Ended(end)) = node.desk.known(name) {
+    if let Some(end) = node.desk.ended(name) {
         return Status::Ended(end);
     }
     if node.state.down() {
@@ -354,7 +471,7 @@
     let node = node.clone();
     tokio::task::spawn_local(async move {
         loop {
-            let most = (node.settings.site.txn_ops * 4).min(200);
+            let most = node.state.most_guards();
             let batch: HashMap<String, Vec<oneshot::Sender<Status>>> = {
                 let mut checks = node.desk.checks.borrow_mut();
                 let names: Vec<String> = checks.keys().take(most).cloned().collect();
@@ -364,69 +481,199 @@
                 break;
             }
             let names: Vec<String> = batch.keys().cloned().collect();
-            let found = check(&node, names).await;
+            let found = check(&node, names, Class::Poll).await;
             for (name, replies) in batch {
                 let status = found.get(&name).copied().unwrap_or(Status::Unclear);
                 for reply in replies {
                     let _ = reply.send(status);
                 }
             }
-            sleep(CHECK_EVERY).await;
+            if node.desk.checks.borrow().len() < most {
+                sleep(CHECK_EVERY).await;
+            }
         }
         node.desk.checking.set(false);
     });
 }
 
-/// Asks for many jobs in one transaction that only compares: for one known to be accepted that
-/// it has no end, for any other that it doesn't exist.
-async fn check(node: &Rc<Node>, names: Vec<String>) -> HashMap<String, Status> {
+/// Asks for many jobs in transactions that only compare: of one known to be accepted whether it, or
+/// anything that it needs, has ended; of any other whether it exists. What is not ended by then was
+/// not ended when it was asked.
+async fn check(node: &Rc<Node>, names: Vec<String>, class: Class) -> HashMap<String, Status> {
     let mut found = HashMap::new();
     let mut open = names;
     let deadline = Instant::now() + Duration::from_millis(1_500);
+    // Keys that were compared and are absent, as of this question.
+    let mut absent: HashSet<String> = HashSet::new();
     while !open.is_empty() && Instant::now() < deadline {
+        let mut ask: BTreeSet<String> = BTreeSet::new();
+        let mut unread: BTreeSet<String> = BTreeSet::new();
+        open.retain(|name| {
+            let mut sure = true;
+            for link in node.desk.chain(name) {
+                match node.desk.known(&link) {
+                    Some(Known::Ended(end)) => {
+                        // Of what it needs only a cancelled one is here; that is settled below.
+                        if link == *name {
+                            found.insert(name.clone(), Status::Ended(end));
+                            return false;
+                        }
+                        sure = false;
+                    }
+                    Some(Known::Accepted(needs)) => {
+                        let key = keys::end(&link);
+                        let asked = absent.contains(&key);
+                        sure &= asked && needs.is_some();
+                        if needs.is_none() && asked {
+                            unread.insert(link);
+                        } else if !asked {
+                            ask.insert(key);
+                        }
+                    }
+                    None => {
+                        let key = keys::job(&link);
+                        if absent.contains(&key) {
+                            // The job itself, or one that a damaged record names.
+                            if link == *name {
+                                found.insert(name.clone(), Status::NeverAccepted);
+                                return false;
+                            }
+                        } else {
+                            sure = false;
+                            ask.insert(key);
+                        }
+                    }
+                }
+            }
+            if sure {
+                found.insert(name.clone(), Status::Open);
+            }
+            !sure
+        });
+        let behind: Vec<String> = open
+            .iter()
+            .filter(|n| {
+                let chain = node.desk.chain(n);
+                chain.iter().any(|link| node.desk.ended(link) == Some(End::Aborted))
+            })
+            .cloned()
+            .collect();
+        let settled = !behind.is_empty() && settle_behind(node, &behind).await;
+        let compared = !ask.is_empty() && compare(node, ask, class, &mut absent).await;
+        let read = !unread.is_empty() && read_needs(node, unread, class).await;
+        if !settled && !compared && !read {
+            break;
+        }
+    }
+    found
+}
+
+/// Compares the keys with nothing. Those that exist are learned, the others noted as absent. Whether
+/// anything came of it.
+async fn compare(
+    node: &Rc<Node>,
+    keys: BTreeSet<String>,
+    class: Class,
+    absent: &mut HashSet<String>,
+) -> bool {
+    let mut left: Vec<String> = keys.into_iter().collect();
+    let mut any = false;
+    while !left.is_empty() {
+        let n = left.len().min(node.state.most_guards());
+        let batch = &left[left.len() - n..];
+        let guards = batch.iter().map(|k| Guard { key: k.clone(), mark: 0 }).collect();
+        match node.state.commit(class, &Txn { guards, apply: Vec::new() }).await {
+            Outcome::Committed { .. } => {
+                any = true;
+                absent.extend(left.split_off(left.len() - n));
+            }
+            Outcome::Conflict { failed } => {
+                let before = left.len();
+                left.retain(|k| !failed.contains(k));
+                if left.len() == before {
+                    return any; // An answer that makes no sense.
+                }
+                for key in failed {
+                    if let Some(name) = key.strip_prefix(keys::JOB) {
+                        node.desk.learn(name, Known::Accepted(None));
+                        any = true;
+                    } else if let Some(name) = key.strip_prefix(keys::END) {
+                        if let Ok(Some(end)) = node.state.end(name).await {
+                            node.learn_end(name, end);
+                            any = true;
+                        }
+                    }
+                }
+            }
+            Outcome::Refused | Outcome::Lost | Outcome::TooLarge => return any,
+        }
+    }
+    any
+}
+
+/// Jobs whose descriptions are read one by one; of more, the list of all is read.
+const FEW: usize = 3;
+
+/// Reads what the jobs need, which were not ended when they were compared. One without a description
+/// among those that need others needs none (or its records went meanwhile, and its end is met).
+async fn read_needs(node: &Rc<Node>, names: BTreeSet<String>, class: Class) -> bool {
+    let mut read: BTreeMap<String, serde_json::Value> = BTreeMap::new();
+    if names.len() <= FEW {
+        for name in &names {
+            match node.state.get(class, &keys::description(name, true)).await {
+                Ok(Some(pair)) => read.insert(name.clone(), pair.value),
+                Ok(None) => None,
+                Err(_) => return false,
+            };
+        }
+    } else {
+        let Ok((pairs, _)) = node.state.list(class, keys::CHAINED).await else { return false };
+        read.extend(pairs.into_iter().filter_map(|pair| {
+            Some((pair.key.strip_prefix(keys::CHAINED)?.to_owned(), pair.value))
+        }));
+    }
+    for name in names {
+        let needs = read.get(&name).map(|value| value["spec"]["needs"].clone());
+        // A record that can't be read names nothing that could be looked for.
+        let needs: Vec<String> =
+            needs.and_then(|list| serde_json::from_value(list).ok()).unwrap_or_default();
+        node.desk.learn(&name, Known::Accepted(Some(needs.into())));
+    }
+    true
+}
+
+/// Writes the ends of jobs that stand behind a cancelled one. The leader does the same; but until it
+/// has, nobody may be told that such a job is queued.
+async fn settle_behind(node: &Rc<Node>, names: &[String]) -> bool {
+    let mut any = false;
+    for some in names.chunks(node.state.limits().txn_ops.max(1)) {
         let txn = Txn {
-            guards: open
+            guards: some.iter().map(|n| Guard { key: keys::end(n), mark: 0 }).collect(),
+            apply: some
                 .iter()
-                .map(|n| match node.desk.known(n) {
-                    Some(_) => Guard { key: keys::end(n), mark: 0 },
-                    None => Guard { key: keys::job(n), mark: 0 },
-                })
+                .map(|n| Change::put(keys::end(n), serde_json::json!(End::Aborted)))
                 .collect(),
-            apply: Vec::new(),
         };
-        match node.state.commit(Class::Poll, &txn).await {
+        match node.state.commit(Class::Submission, &txn).await {
             Outcome::Committed { .. } => {
-                for n in open.drain(..) {
-                    let status = match node.desk.known(&n) {
-                        Some(Known::Ended(end)) => Status::Ended(end),
-                        Some(Known::Accepted) => Status::Open,
-                        None => Status::NeverAccepted,
-                    };
-                    found.insert(n, status);
+                for name in some {
+                    info!(job = %name, "cancelled with a job that it needs");
+                    node.learn_end(name, End::Aborted);
                 }
+                any = true;
             }
             Outcome::Conflict { failed } => {
-                for key in failed {
-                    if let Some(n) = key.strip_prefix("job/") {
-                        node.desk.learn(n, Known::Accepted);
-                    } else if let Some(n) = key.strip_prefix(keys::END) {
-                        match node.state.end(n).await {
-                            Ok(Some(end)) => {
-                                node.learn_end(n, end);
-                                found.insert(n.to_owned(), Status::Ended(end));
-                            }
-                            _ => {
-                                found.insert(n.to_owned(), Status::Unclear);
-                            }
-                        }
-                        open.retain(|o| o != n);
+                for name in failed.iter().filter_map(|k| k.strip_prefix(keys::END)) {
+                    if let Ok(Some(end)) = node.state.end(name).await {
+                        node.learn_end(name, end);
+                        any = true;
                     }
                 }
             }
-            Outcome::Refused | Outcome::Lost => break,
+            Outcome::Refused | Outcome::Lost | Outcome::TooLarge => {}
         }
     }
-    found
+    any
 }
 
 pub async fn withdraw(node: Rc<Node>, name: &str) -> Answer {
@@ -468,10 +715,11 @@
     pub fn learn_end(&self, name: &str, end: End) {
         self.desk.learn(name, Known::Ended(end));
         if let Some(s) = self.scheduler.borrow_mut().as_mut() {
-            s.job_over(self.now(), name);
+            s.job_ended(self.now(), name, end);
         }
         self.tell_peers(&Frame::Ended { job: name.to_owned(), end });
         self.new_work.notify_one();
+        self.pump();
     }
 }
 
--- a/deploy/walnutlug.lua
+++ b/deploy/walnutlug.lua
@@ -24,5 +24,6 @@
   slow_factor = 2.0,
   round_every = 0.02,
   evidence_delay = 4.0,
+  chain_step = 5.0,
   txns_in_flight = 4,
 }
