--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -44,12 +44,21 @@
     starts: Vec<TaskId>,
     finishes: Vec<TaskId>,
     ends: Vec<(JobIx, End)>,
-    /// Jobs whose records go, whether these are the last of them, and which parts go.
-    cleanups: Vec<(JobIx, bool, Vec<(usize, u32)>)>,
+    /// Jobs whose records go.
+    cleanups: Vec<CleanUp>,
     /// Evidence and clean-up alone: nothing waits for it.
     lazy: bool,
 }
 
+/// What goes of a job's records.
+struct CleanUp {
+    job: JobIx,
+    /// Whether these are the last of them.
+    last: bool,
+    /// Parts of chunks, by chunk and first task.
+    parts: Vec<(usize, u32)>,
+}
+
 impl Batch {
     fn full(&self, most: usize) -> bool {
         self.txn.apply.len() >= most || self.bytes > MAX_TXN_BYTES
@@ -395,7 +404,7 @@
             batch.txn.apply.push(Change::drop(key));
             self.tally.jobs += 1;
         }
-        batch.cleanups.push((ix, last, parts));
+        batch.cleanups.push(CleanUp { job: ix, last, parts });
         self.tally.drops += batch.txn.apply.len() - before;
     }
 
@@ -538,7 +547,7 @@
             // Committed, so stored: what waits for it may begin in this very turn.
             self.job_ended(now, &name, end);
         }
-        for (ix, last, _) in done.cleanups {
+        for CleanUp { job: ix, last, .. } in done.cleanups {
             if last {
                 if let Some(job) = self.jobs.remove(&ix) {
                     self.by_ref.remove(&job.name);
@@ -622,7 +631,7 @@
                 job.ending = false;
             }
         }
-        for (ix, _, parts) in failed.cleanups {
+        for CleanUp { job: ix, parts, .. } in failed.cleanups {
             if let Some(job) = self.jobs.get_mut(&ix) {
                 job.dropping = false;
                 job.parts.extend(parts.into_iter().map(|part| (part, 1)));
