--- a/crates/core/tests/any_order.rs
+++ b/crates/core/tests/any_order.rs
@@ -7,7 +7,6 @@
 use proptest::test_runner::{Config, RngSeed};
 use serde_json::json;
 use walnutlug_core::book::{Command, DirectOutcome, Outcome, Scheduler};
-use walnutlug_core::job::keys;
 use walnutlug_core::wire::{Call, Report};
 use world::{spec, World};
 
@@ -16,6 +15,8 @@
     /// To the state store; `None`: a copy nobody waits for.
     Commit(u64, Option<u64>, walnutlug_core::wire::Txn),
     Read(u64, u64, String),
+    /// A leader's question about ends.
+    Ends(u64, Vec<String>),
     /// To a worker: term of the sender, whether its answer still matters.
     Direct {
         term: u64,
@@ -28,6 +29,10 @@
     Report(Report),
 }
 
+/// What the state service takes once its limits have fallen: less than a chunk of the former version
+/// with its tasks placed.
+const LEAST: (usize, usize) = (100, 2);
+
 struct Play {
     w: World,
     old: Vec<Scheduler>,
@@ -35,17 +40,36 @@
     completed: std::collections::BTreeSet<String>,
     /// Machines whose reports arrive and that nothing reaches.
     deaf: std::collections::BTreeSet<String>,
+    /// Jobs accepted so far.
+    accepted: usize,
+    /// Whether processes of the former version may still come to lead.
+    former: bool,
+    /// Terms under which one leads, or thinks it does.
+    former_terms: std::collections::BTreeSet<u64>,
 }
 
-const JOBS: [&str; 2] = ["req-000001", "req-000002"];
+/// The jobs, each with those that it needs. The first two are there before the upgrade, in chunks of the
+/// former version; the others come after it, and only once what they need was accepted.
+const JOBS: [(&str, &[&str]); 6] = [
+    ("req-000001", &[]),
+    ("req-000002", &[]),
+    ("req-000003", &["req-000001"]),
+    ("req-000004", &["req-000001", "req-000002"]),
+    ("req-000005", &["req-000003"]),
+    ("req-000006", &["req-000005", "req-000004", "req-000003"]),
+];
+const FORMER_CHUNK: u32 = 168;
 
 impl Play {
     fn new() -> Play {
         let mut w = World::new(&[("n-1", "a"), ("n-2", "b"), ("n-3", "a")]);
-        for job in JOBS {
-            w.submit(job, &spec(3));
+        for (job, _) in &JOBS[..2] {
+            w.submit_in_chunks(job, &spec(3), FORMER_CHUNK);
         }
         Play {
+            accepted: 2,
+            former: true,
+            former_terms: Default::default(),
             w,
             old: Vec::new(),
             held: Vec::new(),
@@ -66,6 +90,7 @@
             match command {
                 Command::Commit { id, txn } => self.held.push(Held::Commit(term, Some(id), txn)),
                 Command::Read { id, key } => self.held.push(Held::Read(term, id, key)),
+                Command::FindEnds { names } => self.held.push(Held::Ends(term, names)),
                 Command::Direct { machine, token, session, calls, .. } => {
                     let name = self
                         .scheduler(term)
@@ -118,6 +143,14 @@
                     s.txn_answer(now, id, outcome);
                 }
             }
+            Held::Ends(term, names) => {
+                // Answered in part, or not at all.
+                let mut found = self.w.store.ends(&names);
+                found.truncate(fate);
+                if let Some(s) = self.scheduler(term) {
+                    s.ends_found(now, &found);
+                }
+            }
             Held::Read(term, id, key) => {
                 let found = self.w.store.keys.get(&key).cloned().unwrap_or_default();
                 if let Some(s) = self.scheduler(term) {
@@ -224,17 +257,42 @@
                 self.w.workers.insert(fresh.clone(), world::Worker::new(&fresh, "a"));
             }
             27 if pick.is_multiple_of(3) => {
-                let old = self.w.take_over();
+                let former = self.former && pick.is_multiple_of(2);
+                let old = self.w.take_over_as(former);
                 self.old.push(old);
+                if former {
+                    self.former_terms.insert(self.w.leader.term);
+                }
             }
             28 if pick.is_multiple_of(16) => {
-                let job = JOBS[pick / 16 % 2];
+                let job = JOBS[pick / 16 % self.accepted].0;
                 if self.w.end(job).is_none() {
-                    self.w.store.put(&keys::end(job), json!("aborted"));
-                    let now = self.w.now;
-                    self.w.leader.job_over(now, job);
+                    self.w.withdraw(job);
+                }
+            }
+            31 if pick.is_multiple_of(8) && self.accepted < JOBS.len() => {
+                let (job, needs) = JOBS[self.accepted];
+                self.accepted += 1;
+                let needs = needs.iter().map(|n| (*n).to_owned()).collect();
+                let spec = walnutlug_core::job::JobSpec { needs, ..spec(3) };
+                // Of what waits a leader of the former version hears nothing.
+                if self.former_terms.contains(&self.w.leader.term) {
+                    self.w.store_job(job, &spec, 2);
+                } else {
+                    self.w.submit_in_chunks(job, &spec, 2);
                 }
             }
+            31 if pick.is_multiple_of(5) => {
+                // The upgrade is over; some time later the limits fall, to less than one of the
+                // former chunks takes.
+                if !self.former && !self.former_terms.contains(&self.w.leader.term) {
+                    self.w.store.limits = Some(LEAST);
+                    for s in self.old.iter_mut().chain([&mut self.w.leader]) {
+                        s.set_limits(LEAST.0, LEAST.1);
+                    }
+                }
+                self.former = false;
+            }
             29 if pick.is_multiple_of(3) => {
                 if !self.deaf.remove(name) {
                     self.deaf.insert(name.clone());
@@ -259,12 +317,19 @@
         for (task, machines) in self.w.places() {
             assert!(machines.len() <= 1, "{task} is on {machines:?}");
         }
-        for job in JOBS {
+        for (job, needs) in JOBS {
             if self.w.end(job) == Some(&json!("done")) {
                 for i in 0..3 {
                     assert!(self.completed.contains(&format!("{job}/{i}")), "{job} isn't done");
                 }
             }
+            let live = |i: &u32| !self.w.places_of(&format!("{job}/{i}")).is_empty();
+            if (0..3).any(|i| live(&i)) {
+                for need in needs {
+                    let end = self.w.end(need);
+                    assert_eq!(end, Some(&json!("done")), "{job} runs before {need} is done");
+                }
+            }
         }
     }
 }
@@ -299,6 +364,7 @@
 fn end_quietly(mut play: Play) {
     play.held.clear();
     play.deaf.clear();
+    let accepted = play.accepted;
     let w = &mut play.w;
     w.take_over();
     for _ in 0..80 {
@@ -315,13 +381,18 @@
             assert!(machines.len() <= 1, "{task} is on {machines:?}");
             w.finish(&machines[0], &task);
         }
-        if JOBS.iter().all(|job| w.end(job).is_some()) {
-            return;
+        if JOBS[..accepted].iter().all(|(job, _)| w.end(job).is_some()) {
+            break;
         }
         w.wait(1_000);
     }
-    for job in JOBS {
-        assert!(w.end(job).is_some(), "{job} is neither done nor cancelled after all is quiet");
+    for (job, needs) in &JOBS[..accepted] {
+        let end = w.end(job);
+        assert!(end.is_some(), "{job} is neither done nor cancelled after all is quiet");
+        for need in *needs {
+            let before = w.end(need);
+            assert!(before == end || end == Some(&json!("aborted")), "{job} behind {need}");
+        }
     }
 }
 
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -295,11 +295,17 @@
 
     /// As a version accepted it that made chunks of that size.
     pub fn submit_in_chunks(&mut self, name: &str, spec: &JobSpec, chunk: u32) {
+        let value = self.store_job(name, spec, chunk);
+        let wall = self.wall_us();
+        self.leader.add_job(self.now, name, &value, wall);
+    }
+
+    /// Accepted, with nobody told.
+    pub fn store_job(&mut self, name: &str, spec: &JobSpec, chunk: u32) -> Value {
         let value = todo_value(spec, self.wall_us(), chunk);
         self.store.put(&keys::job(name), json!(1));
         self.store.put(&keys::description(name, !spec.needs.is_empty()), value.clone());
-        let wall = self.wall_us();
-        self.leader.add_job(self.now, name, &value, wall);
+        value
     }
 
     fn wall_us(&self) -> u64 {
@@ -484,6 +490,14 @@
         places
     }
 
+    /// Where the task is live.
+    pub fn places_of(&self, task: &str) -> Vec<&str> {
+        let here = |w: &&Worker| {
+            w.alive && w.tasks.iter().any(|(t, s)| t.0 == task && s.0 != TaskStage::Exited)
+        };
+        self.workers.values().filter(here).map(|w| w.name.as_str()).collect()
+    }
+
     pub fn end(&self, name: &str) -> Option<&Value> {
         self.store.keys.get(&keys::end(name)).map(|v| &v.0)
     }
--- a/crates/walnutlug/src/peers.rs
+++ b/crates/walnutlug/src/peers.rs
@@ -343,6 +343,23 @@
         }
     }
 
+    /// Frames as the production version sends them, made by its own code: each is read, and sent the
+    /// same to the byte, so that it can read those of this version.
+    #[tokio::test(start_paused = true)]
+    async fn frames_are_those_of_the_production_version() {
+        let lines = include_str!("../fixtures/production-frames.hex").lines();
+        let bytes = |line: &str| -> Vec<u8> {
+            let digits = |i: usize| u8::from_str_radix(&line[i..i + 2], 16).expect("digits");
+            (0..line.len()).step_by(2).map(digits).collect()
+        };
+        let then: Vec<Vec<u8>> = lines.map(bytes).collect();
+        assert_eq!(then.len(), frames().len());
+        for (frame, then) in frames().into_iter().zip(then) {
+            assert_eq!(read_frame(&mut then.as_slice()).await, Ok(Some(frame.clone())));
+            assert_eq!(frame.encode(), then);
+        }
+    }
+
     #[test]
     fn the_hints_of_a_large_fleet_take_few_frames() {
         let name = |i: usize| (format!("n-{i:06}"), SocketAddrV4::new([10, 0, 0, 1].into(), 9000));
--- a/crates/walnutlug/src/settings.rs
+++ b/crates/walnutlug/src/settings.rs
@@ -371,6 +371,32 @@
         }
     }
 
+    #[test]
+    fn limits_to_come_are_read_and_their_faults_named() {
+        let mut s = sample();
+        s["facts"]["state"]["next"] = json!({"value_kb": 2.0, "txn_ops": 10, "later": 1});
+        let good = Settings::parse(&s.to_string()).expect("valid");
+        let next = good.state_next.expect("next");
+        assert_eq!((next.value_bytes, next.txn_ops, next.write_rps), (2_048, 10, 40.0));
+        // New jobs are made for the smaller of both, also where the next ones are larger.
+        assert_eq!((good.site.value_bytes, good.site.txn_ops), (2_048, 10));
+        s["facts"]["state"]["next"] = json!({"value_kb": 64.0, "txn_ops": 100});
+        let good = Settings::parse(&s.to_string()).expect("valid");
+        assert_eq!((good.site.value_bytes, good.site.txn_ops), (8_192, 32));
+        s["facts"]["state"]["next"] = Value::Null;
+        assert_eq!(Settings::parse(&s.to_string()).expect("valid").state_next, None);
+        s["facts"]["state"]["next"] =
+            json!({"value_kb": 0.5, "txn_ops": "few", "write_rps": -1, "rps": 0});
+        let faults = Settings::parse(&s.to_string()).expect_err("faults");
+        for field in ["value_kb", "txn_ops", "write_rps", "rps"] {
+            let path = format!("facts.state.next.{field}");
+            assert!(faults.iter().any(|f| f.contains(&path)), "{path} in {faults:?}");
+        }
+        s["facts"]["state"]["next"] = json!(7);
+        let faults = Settings::parse(&s.to_string()).expect_err("faults");
+        assert_eq!(faults, ["settings: facts.state.next: must be an object"]);
+    }
+
     #[test]
     fn every_fault_is_named() {
         let mut bad = sample();
