--- a/crates/walnutlug/src/node.rs
+++ b/crates/walnutlug/src/node.rs
@@ -223,6 +223,7 @@
                 self.new_work.notify_one();
             }
             Frame::NewJob { .. } => self.new_work.notify_one(),
+            Frame::LimitsFell => self.state.heard_of_fall(),
             Frame::Machines(list) => {
                 let mut known = self.addresses.borrow_mut();
                 if known.len() + list.len() > MOST_ADDRESSES {
@@ -427,6 +428,10 @@
             count: node.statuses.get(),
         });
         node.statuses.set(node.statuses.get() + 1);
+        if node.state.met_fall() {
+            // A node that comes to lead later would find out again, with refused writes.
+            node.tell_peers(&Frame::LimitsFell);
+        }
         count += 1;
         if count.is_multiple_of(6) {
             node.redirected.set(0);
--- a/crates/walnutlug/src/peers.rs
+++ b/crates/walnutlug/src/peers.rs
@@ -39,6 +39,8 @@
 const KIND_ENDED: u16 = 3;
 const KIND_NEW_JOB: u16 = 4;
 const KIND_MACHINES: u16 = 6;
+/// New with job chains; a version that doesn't know it passes it over.
+const KIND_LIMITS_FELL: u16 = 7;
 
 #[derive(FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned, Clone, Copy)]
 #[repr(C)]
@@ -101,6 +103,9 @@
     NewJob {
         job: String,
     },
+    /// The state service has come down to its next limits, as the speaker met with. Whoever hears it
+    /// only sends less.
+    LimitsFell,
     /// Where machines that report to the leader can be reached.
     Machines(Vec<(String, SocketAddrV4)>),
 }
@@ -158,6 +163,7 @@
                 }
                 (KIND_MACHINES, body)
             }
+            Frame::LimitsFell => (KIND_LIMITS_FELL, Vec::new()),
             Frame::NewJob { job } => (KIND_NEW_JOB, job_body(job, 0, 0, 0).as_bytes().to_vec()),
         };
         let header = Header {
@@ -212,6 +218,7 @@
                     _ => return Err("bad end"),
                 }))
             }
+            KIND_LIMITS_FELL => Ok(Some(Frame::LimitsFell)),
             _ => Ok(None),
         }
     }
@@ -336,7 +343,7 @@
 
     #[tokio::test(start_paused = true)]
     async fn frames_survive_the_wire() {
-        for frame in frames() {
+        for frame in frames().into_iter().chain([Frame::LimitsFell]) {
             let bytes = frame.encode();
             let read = read_frame(&mut bytes.as_slice()).await;
             assert_eq!(read, Ok(Some(frame)));
--- a/crates/walnutlug/src/state.rs
+++ b/crates/walnutlug/src/state.rs
@@ -139,6 +139,8 @@
     now: Cell<Limits>,
     next: Limits,
     fallen: Cell<bool>,
+    /// Whether there are any next limits.
+    foretold: bool,
     /// Refusals for the rate, and since when they are counted.
     refusals: Cell<(u32, Instant)>,
     leading: Cell<bool>,
@@ -172,6 +174,7 @@
             now: Cell::new(Limits { txn_ops: next.txn_ops, ..limits }),
             next,
             fallen: Cell::new(next == limits),
+            foretold: next != limits,
             refusals: Cell::new((0, now)),
             leading: Cell::new(false),
             last_ok: Cell::new(now),
@@ -214,6 +217,18 @@
         );
     }
 
+    /// Whether this process takes the next limits for those in force.
+    pub fn met_fall(&self) -> bool {
+        self.fallen.get() && self.foretold
+    }
+
+    /// Another node met with the next limits. Were it wrong, this one would only send less.
+    pub fn heard_of_fall(&self) {
+        if !self.fallen.get() {
+            self.fall("another node tells");
+        }
+    }
+
     /// A value or a transaction was refused for its size. Such a refusal is certain, and would come
     /// again: what is sent from now on is smaller.
     fn too_large(&self) {
@@ -529,6 +544,12 @@
             assert_eq!(state.commit(Class::Dispatch, &Txn::default()).await, Outcome::TooLarge);
         }
         assert_eq!((state.limits().value_bytes, state.limits().txn_ops), (LEAST_VALUE, 1));
+        assert!(!state.met_fall(), "others may be served better");
+        // What another node met with is taken from it.
+        let state = refusing(&[200], Some(next));
+        assert!(!state.met_fall());
+        state.heard_of_fall();
+        assert!(state.met_fall() && state.limits() == next);
     }
 
     #[tokio::test(start_paused = true)]
