--- a/crates/walnutlug/src/users.rs
+++ b/crates/walnutlug/src/users.rs
@@ -1011,6 +1011,27 @@
         LocalSet::new().run_until(play).await;
     }
 
+    /// The chain that the README shows, sent as it stands there.
+    #[tokio::test(start_paused = true)]
+    async fn the_chain_in_the_readme_is_accepted_and_cancelled() {
+        let store = StandIn::default();
+        let node = store.node();
+        let play = async {
+            let text = include_str!("../../../README.md");
+            let bodies: Vec<&str> =
+                text.split("job '").skip(1).filter_map(|s| s.split('\'').next()).collect();
+            assert_eq!(bodies.len(), 2);
+            for body in bodies {
+                let answer = submit(node.clone(), body.as_bytes().to_vec()).await;
+                assert_eq!(answer.status, 201, "{}", String::from_utf8_lossy(&answer.body));
+            }
+            assert_eq!(told(poll(node.clone(), "req-000002").await).1["stage"], "queued");
+            assert_eq!(withdraw(node.clone(), "req-000001").await.status, 200);
+            assert_eq!(told(poll(node.clone(), "req-000002").await).1["stage"], "aborted");
+        };
+        LocalSet::new().run_until(play).await;
+    }
+
     fn chained(name: &str, needs: &[&str]) -> Value {
         let mut body = submission();
         body["ref"] = json!(name);
