A step that is read after what needs it gets its priority and deadline too

The new log line shows their steps released at 310 s, after the take-over at 306 s, with their own priority, low: records are read by name, and a step that came after the job behind it was never refreshed from it. Ruled out: room (tank-alarms started in 3 s throughout), estimates, writes (not at their rate).

--- a/crates/core/src/chain.rs
+++ b/crates/core/src/chain.rs
@@ -80,6 +80,10 @@
 impl Scheduler {
     /// A job has come into the book: what it needs is looked for.
     pub(crate) fn link(&mut self, now: Time, ix: JobIx) {
+        // What needs it may have come first: records are read in no order of theirs. (After each
+        // take-over half the steps of all chains had only their own priority, the lowest, and waited
+        // for two minutes.)
+        self.refresh(now, ix);
         let Some(job) = self.jobs.get_mut(&ix) else { return };
         if job.spec.needs.is_empty() {
             return;
@@ -147,6 +151,14 @@
         let begun = job.tasks.iter().filter(|t| t.phase != Phase::Pending).map(|t| t.placed_at);
         job.released = begun.min().unwrap_or(now);
         let (spec, since) = (job.spec.clone(), job.released);
+        let text = format!(
+            "{} may begin after {:.1} s, {:?}: {} done",
+            job.name,
+            since.since(job.accepted).as_secs(),
+            job.rank,
+            spec.needs.join(", ")
+        );
+        self.note(text);
         self.learn_size(&spec, now, since);
         self.dirty = true;
     }
--- a/crates/core/tests/chains.rs
+++ b/crates/core/tests/chains.rs
@@ -249,6 +249,29 @@
     assert_eq!((state(&w).0, state(&w).1 > 1_000.0), (Rank::Low, true));
 }
 
+/// After a take-over the steps of a chain come in the order of their names, which is any.
+#[test]
+fn a_take_over_knows_the_priorities_of_a_chain_in_whatever_order_it_is_read() {
+    for names in
+        [["req-1", "req-2", "req-3"], ["req-3", "req-2", "req-1"], ["req-2", "req-3", "req-1"]]
+    {
+        let mut w = World::new(&[]);
+        let step = JobSpec { rank: Rank::Low, deadline_s: None, ..spec(1) };
+        w.submit(names[0], &step);
+        w.submit(names[1], &JobSpec { needs: vec![names[0].into()], ..step.clone() });
+        let needs = vec![names[1].into()];
+        w.submit(names[2], &JobSpec { rank: Rank::High, needs, ..spec(1) });
+        let state = |w: &World| {
+            let job = |n: &str| w.leader.job(w.leader.by_ref[n]).cloned().expect("job");
+            names.map(|n| (job(n).rank, job(n).due.map(|d| d.after_s.round())))
+        };
+        let before = state(&w);
+        assert!(before.iter().all(|s| s.0 == Rank::High), "{before:?}");
+        w.take_over();
+        assert_eq!(state(&w), before, "{names:?}");
+    }
+}
+
 #[test]
 fn what_waits_takes_no_part_in_any_decision() {
     let mut w = World::new(&[]);
