--- a/crates/walnutlug/src/users.rs
+++ b/crates/walnutlug/src/users.rs
@@ -742,6 +742,11 @@
 /// Keeps the types for nodes that start while the cloud is down.
 pub async fn share_types(state: &State, types: &[wire::MachineType]) -> Outcome {
     let value = serde_json::json!({"breeds": types});
+    if value.to_string().len() > state.limits().value_bytes {
+        // Sent all the same, each refusal would be taken for limits that fell once more.
+        debug!("the machine types are too long to be kept");
+        return Outcome::TooLarge;
+    }
     let txn = Txn { guards: Vec::new(), apply: vec![Change::put(keys::TYPES, value)] };
     state.commit(Class::Watch, &txn).await
 }
@@ -1011,6 +1016,19 @@
         LocalSet::new().run_until(play).await;
     }
 
+    /// Refused for its size again and again, it would lower what is taken for the limits each time.
+    #[tokio::test(start_paused = true)]
+    async fn machine_types_that_are_too_long_are_not_sent() {
+        let store = StandIn::default();
+        let node = store.node();
+        let types = node.types.borrow().clone();
+        assert!(matches!(share_types(&node.state, &types).await, Outcome::Committed { .. }));
+        let asked = store.asked.get();
+        let many: Vec<_> = (0..200).flat_map(|_| types.clone()).collect();
+        assert_eq!(share_types(&node.state, &many).await, Outcome::TooLarge);
+        assert_eq!(store.asked.get(), asked);
+    }
+
     /// The chain that the README shows, sent as it stands there.
     #[tokio::test(start_paused = true)]
     async fn the_chain_in_the_readme_is_accepted_and_cancelled() {
