--- a/crates/walnutlug/src/users.rs
+++ b/crates/walnutlug/src/users.rs
@@ -3,8 +3,12 @@
 //!
 //! No answer is ever older than one that any node gave before: an end never changes, and "not ended" is said only after the state service confirmed it.
 
+mod checks;
+#[cfg(test)]
+pub mod stand_in;
+
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 
 use tokio::sync::oneshot;
@@ -14,10 +18,12 @@
 use walnutlug_core::job::{keys, End, JobSpec};
 use walnutlug_core::wire::{self, is_job_ref, job_answer, Change, Guard, Stage, Txn};
 
+use checks::check;
+
 use crate::http::server::Answer;
 use crate::node::Node;
 use crate::peers::Frame;
-use crate::state::{Class, State, StateError};
+use crate::state::{Class, State};
 
 /// What this node knows of a job for certain.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -502,196 +508,6 @@
     });
 }
 
-/// Asks for many jobs in transactions that only compare: of one known to be accepted whether it, or
-/// anything that it needs, has ended; of any other whether it exists. What is not ended by then was
-/// not ended when it was asked.
-async fn check(node: &Rc<Node>, names: Vec<String>, class: Class) -> HashMap<String, Status> {
-    let mut found = HashMap::new();
-    let mut open = names;
-    let deadline = Instant::now() + Duration::from_millis(1_500);
-    // Keys that were compared and are absent, as of this question.
-    let mut absent: HashSet<String> = HashSet::new();
-    let mut first = true;
-    while !open.is_empty() && Instant::now() < deadline {
-        let mut ask: BTreeSet<String> = BTreeSet::new();
-        let mut unread: BTreeSet<String> = BTreeSet::new();
-        open.retain(|name| {
-            let mut sure = true;
-            for link in node.desk.chain(name) {
-                match node.desk.known(&link) {
-                    Some(Known::Ended(end)) => {
-                        // Of what it needs only a cancelled one is here; that is settled below.
-                        if link == *name {
-                            found.insert(name.clone(), Status::Ended(end));
-                            return false;
-                        }
-                        sure = false;
-                    }
-                    Some(Known::Accepted(needs)) => {
-                        let key = keys::end(&link);
-                        let asked = absent.contains(&key);
-                        sure &= asked && needs.is_some();
-                        if needs.is_none() && asked {
-                            unread.insert(link);
-                        } else if !asked {
-                            ask.insert(key);
-                        }
-                    }
-                    None => {
-                        let key = keys::job(&link);
-                        if absent.contains(&key) {
-                            // The job itself, or one that a damaged record names.
-                            if link == *name {
-                                found.insert(name.clone(), Status::NeverAccepted);
-                                return false;
-                            }
-                        } else {
-                            sure = false;
-                            ask.insert(key);
-                        }
-                    }
-                }
-            }
-            if sure {
-                found.insert(name.clone(), Status::Open);
-            }
-            !sure
-        });
-        let behind: Vec<String> = open
-            .iter()
-            .filter(|n| {
-                let chain = node.desk.chain(n);
-                chain.iter().any(|link| node.desk.ended(link) == Some(End::Aborted))
-            })
-            .cloned()
-            .collect();
-        let settled = !behind.is_empty() && settle_behind(node, &behind).await;
-        let compared = !ask.is_empty() && compare(node, ask, class, &mut absent).await;
-        // A chain that goes on is read as a whole, not step by step.
-        let read = !unread.is_empty() && read_needs(node, unread, class, first).await.is_ok();
-        first &= !read;
-        if !settled && !compared && !read {
-            break;
-        }
-    }
-    found
-}
-
-/// Compares the keys with nothing. Those that exist are learned, the others noted as absent. Whether
-/// anything came of it.
-async fn compare(
-    node: &Rc<Node>,
-    keys: BTreeSet<String>,
-    class: Class,
-    absent: &mut HashSet<String>,
-) -> bool {
-    let mut left: Vec<String> = keys.into_iter().collect();
-    let mut any = false;
-    while !left.is_empty() {
-        let n = left.len().min(node.state.most_guards());
-        let batch = &left[left.len() - n..];
-        let guards = batch.iter().map(|k| Guard { key: k.clone(), mark: 0 }).collect();
-        match node.state.commit(class, &Txn { guards, apply: Vec::new() }).await {
-            Outcome::Committed { .. } => {
-                any = true;
-                absent.extend(left.split_off(left.len() - n));
-            }
-            Outcome::Conflict { failed } => {
-                let before = left.len();
-                left.retain(|k| !failed.contains(k));
-                if left.len() == before {
-                    return any; // An answer that makes no sense.
-                }
-                for key in failed {
-                    if let Some(name) = key.strip_prefix(keys::JOB) {
-                        node.desk.learn(name, Known::Accepted(None));
-                        any = true;
-                    } else if let Some(name) = key.strip_prefix(keys::END) {
-                        if let Ok(Some(end)) = node.state.end(name).await {
-                            node.learn_end(name, end);
-                            any = true;
-                        }
-                    }
-                }
-            }
-            Outcome::Refused | Outcome::Lost | Outcome::TooLarge => return any,
-        }
-    }
-    any
-}
-
-/// Jobs whose descriptions are read one by one; for more, the list of all is read.
-const FEW: usize = 3;
-
-/// Reads what the jobs need, which were not ended when they were compared. One without a description
-/// among those that need others needs none (or its records went meanwhile, and its end is met).
-async fn read_needs(
-    node: &Rc<Node>,
-    names: BTreeSet<String>,
-    class: Class,
-    few: bool,
-) -> Result<(), StateError> {
-    // A record that can't be read names nothing that could be looked for.
-    let needs_of = |value: &serde_json::Value| -> Rc<[String]> {
-        let needs = serde_json::from_value::<Vec<String>>(value["spec"]["needs"].clone());
-        needs.unwrap_or_default().into()
-    };
-    if few && names.len() <= FEW {
-        for name in &names {
-            let found = node.state.get(class, &keys::description(name, true)).await?;
-            let needs = found.map_or(Rc::from([]), |pair| needs_of(&pair.value));
-            node.desk.learn(name, Known::Accepted(Some(needs)));
-        }
-        return Ok(());
-    }
-    let (pairs, _) = node.state.list(class, keys::CHAINED).await?;
-    for pair in &pairs {
-        if let Some(name) = pair.key.strip_prefix(keys::CHAINED) {
-            node.desk.learn(name, Known::Accepted(Some(needs_of(&pair.value))));
-        }
-    }
-    for name in names {
-        if matches!(node.desk.known(&name), Some(Known::Accepted(None))) {
-            node.desk.learn(&name, Known::Accepted(Some(Rc::from([]))));
-        }
-    }
-    Ok(())
-}
-
-/// Writes the ends of jobs that stand behind a cancelled one. The leader does the same; but until it
-/// has, nobody may be told that such a job is queued.
-async fn settle_behind(node: &Rc<Node>, names: &[String]) -> bool {
-    let mut any = false;
-    for some in names.chunks(node.state.limits().txn_ops.max(1)) {
-        let txn = Txn {
-            guards: some.iter().map(|n| Guard { key: keys::end(n), mark: 0 }).collect(),
-            apply: some
-                .iter()
-                .map(|n| Change::put(keys::end(n), serde_json::json!(End::Aborted)))
-                .collect(),
-        };
-        match node.state.commit(Class::Submission, &txn).await {
-            Outcome::Committed { .. } => {
-                for name in some {
-                    info!(job = %name, "cancelled with a job that it needs");
-                    node.learn_end(name, End::Aborted);
-                }
-                any = true;
-            }
-            Outcome::Conflict { failed } => {
-                for name in failed.iter().filter_map(|k| k.strip_prefix(keys::END)) {
-                    if let Ok(Some(end)) = node.state.end(name).await {
-                        node.learn_end(name, end);
-                        any = true;
-                    }
-                }
-            }
-            Outcome::Refused | Outcome::Lost | Outcome::TooLarge => {}
-        }
-    }
-    any
-}
-
 pub async fn withdraw(node: Rc<Node>, name: &str) -> Answer {
     if !is_job_ref(name) {
         return Answer::error(404, "no such job");
@@ -751,155 +567,6 @@
     state.commit(Class::Watch, &txn).await
 }
 
-/// A state service for tests: the protocol's conditional writes, and faults on demand.
-#[cfg(test)]
-pub mod stand_in {
-    use std::cell::{Cell, RefCell};
-    use std::collections::BTreeMap;
-    use std::rc::Rc;
-
-    use serde_json::{json, Value};
-    use walnutlug_core::tunables::Tunables;
-    use walnutlug_core::wire::{Change, MachineType, Txn};
-
-    use crate::http::client::{Client, Failure, Response};
-    use crate::node::Node;
-    use crate::settings::{tests::sample, Settings};
-
-    #[derive(Clone, Copy, PartialEq)]
-    pub enum Fault {
-        None,
-        /// The next transaction is carried out and its answer lost.
-        AppliedButLost,
-        /// The next transaction is lost.
-        NotApplied,
-        /// 503 to everything.
-        Down,
-    }
-
-    #[derive(Clone)]
-    pub struct StandIn {
-        pub keys: Rc<RefCell<BTreeMap<String, (Value, u64)>>>,
-        pub asked: Rc<Cell<u32>>,
-        growth: Rc<Cell<u64>>,
-        fault: Rc<Cell<Fault>>,
-    }
-
-    impl Default for StandIn {
-        fn default() -> StandIn {
-            StandIn {
-                keys: Rc::default(),
-                asked: Rc::default(),
-                growth: Rc::default(),
-                fault: Rc::new(Cell::new(Fault::None)),
-            }
-        }
-    }
-
-    impl StandIn {
-        pub fn fault(&self, fault: Fault) {
-            self.fault.set(fault);
-        }
-
-        /// A node that knows one machine type and asks this store.
-        pub fn node(&self) -> Rc<Node> {
-            let store = self.clone();
-            let script = move |method: &str, path: &str, body: &[u8]| store.say(method, path, body);
-            let client = Client::scripted(Box::new(script));
-            let settings = Settings::parse(&sample().to_string()).expect("settings");
-            let node = Node::new(settings, Tunables::default(), Rc::new(client), Vec::new());
-            let node = node.expect("a node");
-            node.types.borrow_mut().push(MachineType {
-                name: "t8".into(),
-                cpus: 8.0,
-                gpus: 0.0,
-                memory_gb: 32.0,
-                cache_gb: 10.0,
-                fetch_gb_per_s: 1.0,
-                price: 1.0,
-                spot_price: 0.5,
-                boot_s: 20.0,
-                zones: vec!["east".into()],
-            });
-            Rc::new(node)
-        }
-
-        pub fn put(&self, key: &str, value: Value) {
-            self.growth.set(self.growth.get() + 1);
-            self.keys.borrow_mut().insert(key.into(), (value, self.growth.get()));
-        }
-
-        fn say(&self, method: &str, path: &str, body: &[u8]) -> Result<Response, Failure> {
-            self.asked.set(self.asked.get() + 1);
-            let answer = |status, value: Value| {
-                Ok(Response { status, body: value.to_string().into_bytes() })
-            };
-            match (self.fault.get(), method, path) {
-                (Fault::Down, _, _) => answer(503, json!({})),
-                (_, "GET", _) if path.starts_with("/keys?starts=") => {
-                    let rest = path.strip_prefix("/keys?starts=").unwrap_or_default();
-                    let prefix = rest.split('&').next().unwrap_or_default();
-                    let keys = self.keys.borrow();
-                    let found = keys.iter().filter(|(k, _)| k.starts_with(prefix));
-                    let pairs: Vec<Value> =
-                        found.map(|(k, (v, m))| json!({"key": k, "value": v, "mark": m})).collect();
-                    let growth = self.growth.get();
-                    answer(200, json!({"pairs": pairs, "hasNext": false, "growth": growth}))
-                }
-                (_, "GET", _) => {
-                    let key = path.strip_prefix("/keys/").expect("a key");
-                    match self.keys.borrow().get(key) {
-                        Some((value, mark)) => {
-                            answer(200, json!({"key": key, "value": value, "mark": mark}))
-                        }
-                        None => answer(404, json!({"growth": self.growth.get()})),
-                    }
-                }
-                (_, "DELETE", _) if path.starts_with("/leases/") => {
-                    // The keys on the lease go with it.
-                    self.keys.borrow_mut().retain(|_, (value, _)| {
-                        path.strip_prefix("/leases/") != Some(value["lease"].to_string().as_str())
-                    });
-                    answer(200, json!({}))
-                }
-                (fault, "POST", "/multi") => {
-                    self.fault.set(Fault::None);
-                    if fault == Fault::NotApplied {
-                        return Err(Failure::Lost);
-                    }
-                    let txn: Txn = serde_json::from_slice(body).expect("a transaction");
-                    let failed: Vec<&str> = {
-                        let keys = self.keys.borrow();
-                        let mark = |k: &str| keys.get(k).map_or(0, |v| v.1);
-                        let wrong = txn.guards.iter().filter(|g| mark(&g.key) != g.mark);
-                        wrong.map(|g| g.key.as_str()).collect()
-                    };
-                    if !failed.is_empty() {
-                        return answer(409, json!({"failed": failed, "growth": 1}));
-                    }
-                    self.growth.set(self.growth.get() + 1);
-                    for change in &txn.apply {
-                        match change {
-                            Change::Put { put, value, .. } => {
-                                let entry = (value.clone(), self.growth.get());
-                                self.keys.borrow_mut().insert(put.clone(), entry);
-                            }
-                            Change::Drop { drop } => {
-                                self.keys.borrow_mut().remove(drop);
-                            }
-                        }
-                    }
-                    if fault == Fault::AppliedButLost {
-                        return Err(Failure::Lost);
-                    }
-                    answer(200, json!({"growth": self.growth.get()}))
-                }
-                _ => answer(400, json!({})),
-            }
-        }
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use serde_json::{json, Value};
--- /dev/null
+++ b/crates/walnutlug/src/users/checks.rs
@@ -0,0 +1,208 @@
+//! How jobs stand, asked of the state service: many at once, each with all that it needs.
+
+use std::collections::{BTreeSet, HashMap, HashSet};
+use std::rc::Rc;
+
+use tokio::time::{Duration, Instant};
+use tracing::info;
+use walnutlug_core::book::Outcome;
+use walnutlug_core::job::{keys, End};
+use walnutlug_core::wire::{Change, Guard, Txn};
+
+use super::{Known, Status};
+use crate::node::Node;
+use crate::state::{Class, StateError};
+
+/// Asks for many jobs in transactions that only compare: of one known to be accepted whether it, or
+/// anything that it needs, has ended; of any other whether it exists. What is not ended by then was
+/// not ended when it was asked.
+pub(super) async fn check(
+    node: &Rc<Node>,
+    names: Vec<String>,
+    class: Class,
+) -> HashMap<String, Status> {
+    let mut found = HashMap::new();
+    let mut open = names;
+    let deadline = Instant::now() + Duration::from_millis(1_500);
+    // Keys that were compared and are absent, as of this question.
+    let mut absent: HashSet<String> = HashSet::new();
+    let mut first = true;
+    while !open.is_empty() && Instant::now() < deadline {
+        let mut ask: BTreeSet<String> = BTreeSet::new();
+        let mut unread: BTreeSet<String> = BTreeSet::new();
+        open.retain(|name| {
+            let mut sure = true;
+            for link in node.desk.chain(name) {
+                match node.desk.known(&link) {
+                    Some(Known::Ended(end)) => {
+                        // Of what it needs only a cancelled one is here; that is settled below.
+                        if link == *name {
+                            found.insert(name.clone(), Status::Ended(end));
+                            return false;
+                        }
+                        sure = false;
+                    }
+                    Some(Known::Accepted(needs)) => {
+                        let key = keys::end(&link);
+                        let asked = absent.contains(&key);
+                        sure &= asked && needs.is_some();
+                        if needs.is_none() && asked {
+                            unread.insert(link);
+                        } else if !asked {
+                            ask.insert(key);
+                        }
+                    }
+                    None => {
+                        let key = keys::job(&link);
+                        if absent.contains(&key) {
+                            // The job itself, or one that a damaged record names.
+                            if link == *name {
+                                found.insert(name.clone(), Status::NeverAccepted);
+                                return false;
+                            }
+                        } else {
+                            sure = false;
+                            ask.insert(key);
+                        }
+                    }
+                }
+            }
+            if sure {
+                found.insert(name.clone(), Status::Open);
+            }
+            !sure
+        });
+        let behind: Vec<String> = open
+            .iter()
+            .filter(|n| {
+                let chain = node.desk.chain(n);
+                chain.iter().any(|link| node.desk.ended(link) == Some(End::Aborted))
+            })
+            .cloned()
+            .collect();
+        let settled = !behind.is_empty() && settle_behind(node, &behind).await;
+        let compared = !ask.is_empty() && compare(node, ask, class, &mut absent).await;
+        // A chain that goes on is read as a whole, not step by step.
+        let read = !unread.is_empty() && read_needs(node, unread, class, first).await.is_ok();
+        first &= !read;
+        if !settled && !compared && !read {
+            break;
+        }
+    }
+    found
+}
+
+/// Compares the keys with nothing. Those that exist are learned, the others noted as absent. Whether
+/// anything came of it.
+async fn compare(
+    node: &Rc<Node>,
+    keys: BTreeSet<String>,
+    class: Class,
+    absent: &mut HashSet<String>,
+) -> bool {
+    let mut left: Vec<String> = keys.into_iter().collect();
+    let mut any = false;
+    while !left.is_empty() {
+        let n = left.len().min(node.state.most_guards());
+        let batch = &left[left.len() - n..];
+        let guards = batch.iter().map(|k| Guard { key: k.clone(), mark: 0 }).collect();
+        match node.state.commit(class, &Txn { guards, apply: Vec::new() }).await {
+            Outcome::Committed { .. } => {
+                any = true;
+                absent.extend(left.split_off(left.len() - n));
+            }
+            Outcome::Conflict { failed } => {
+                let before = left.len();
+                left.retain(|k| !failed.contains(k));
+                if left.len() == before {
+                    return any; // An answer that makes no sense.
+                }
+                for key in failed {
+                    if let Some(name) = key.strip_prefix(keys::JOB) {
+                        node.desk.learn(name, Known::Accepted(None));
+                        any = true;
+                    } else if let Some(name) = key.strip_prefix(keys::END) {
+                        if let Ok(Some(end)) = node.state.end(name).await {
+                            node.learn_end(name, end);
+                            any = true;
+                        }
+                    }
+                }
+            }
+            Outcome::Refused | Outcome::Lost | Outcome::TooLarge => return any,
+        }
+    }
+    any
+}
+
+/// Jobs whose descriptions are read one by one; for more, the list of all is read.
+const FEW: usize = 3;
+
+/// Reads what the jobs need, which were not ended when they were compared. One without a description
+/// among those that need others needs none (or its records went meanwhile, and its end is met).
+async fn read_needs(
+    node: &Rc<Node>,
+    names: BTreeSet<String>,
+    class: Class,
+    few: bool,
+) -> Result<(), StateError> {
+    // A record that can't be read names nothing that could be looked for.
+    let needs_of = |value: &serde_json::Value| -> Rc<[String]> {
+        let needs = serde_json::from_value::<Vec<String>>(value["spec"]["needs"].clone());
+        needs.unwrap_or_default().into()
+    };
+    if few && names.len() <= FEW {
+        for name in &names {
+            let found = node.state.get(class, &keys::description(name, true)).await?;
+            let needs = found.map_or(Rc::from([]), |pair| needs_of(&pair.value));
+            node.desk.learn(name, Known::Accepted(Some(needs)));
+        }
+        return Ok(());
+    }
+    let (pairs, _) = node.state.list(class, keys::CHAINED).await?;
+    for pair in &pairs {
+        if let Some(name) = pair.key.strip_prefix(keys::CHAINED) {
+            node.desk.learn(name, Known::Accepted(Some(needs_of(&pair.value))));
+        }
+    }
+    for name in names {
+        if matches!(node.desk.known(&name), Some(Known::Accepted(None))) {
+            node.desk.learn(&name, Known::Accepted(Some(Rc::from([]))));
+        }
+    }
+    Ok(())
+}
+
+/// Writes the ends of jobs that stand behind a cancelled one. The leader does the same; but until it
+/// has, nobody may be told that such a job is queued.
+async fn settle_behind(node: &Rc<Node>, names: &[String]) -> bool {
+    let mut any = false;
+    for some in names.chunks(node.state.limits().txn_ops.max(1)) {
+        let txn = Txn {
+            guards: some.iter().map(|n| Guard { key: keys::end(n), mark: 0 }).collect(),
+            apply: some
+                .iter()
+                .map(|n| Change::put(keys::end(n), serde_json::json!(End::Aborted)))
+                .collect(),
+        };
+        match node.state.commit(Class::Submission, &txn).await {
+            Outcome::Committed { .. } => {
+                for name in some {
+                    info!(job = %name, "cancelled with a job that it needs");
+                    node.learn_end(name, End::Aborted);
+                }
+                any = true;
+            }
+            Outcome::Conflict { failed } => {
+                for name in failed.iter().filter_map(|k| k.strip_prefix(keys::END)) {
+                    if let Ok(Some(end)) = node.state.end(name).await {
+                        node.learn_end(name, end);
+                        any = true;
+                    }
+                }
+            }
+            Outcome::Refused | Outcome::Lost | Outcome::TooLarge => {}
+        }
+    }
+    any
+}
