--- a/crates/walnutlug/src/http/client.rs
+++ b/crates/walnutlug/src/http/client.rs
@@ -78,9 +78,14 @@
     }
 }
 
-/// What a scripted peer says to a request, in tests.
+/// What a scripted peer says to a request, in tests, and the same in its own time.
 #[cfg(test)]
 pub type Script = Box<dyn Fn(&str, &str, &[u8]) -> Result<Response, Failure>>;
+#[cfg(test)]
+pub type Answering =
+    std::pin::Pin<Box<dyn std::future::Future<Output = Result<Response, Failure>>>>;
+#[cfg(test)]
+pub type SlowScript = Box<dyn Fn(&str, &str, &[u8]) -> Answering>;
 
 pub struct Client {
     idle: RefCell<Pool<TcpStream>>,
@@ -89,7 +94,7 @@
     in_use: Cell<usize>,
     most: usize,
     #[cfg(test)]
-    script: Option<Script>,
+    script: Option<SlowScript>,
 }
 
 impl Default for Client {
@@ -127,6 +132,13 @@
 
     #[cfg(test)]
     pub fn scripted(script: Script) -> Client {
+        Client::scripted_slow(Box::new(move |method, path, body| {
+            Box::pin(std::future::ready(script(method, path, body)))
+        }))
+    }
+
+    #[cfg(test)]
+    pub fn scripted_slow(script: SlowScript) -> Client {
         Client { script: Some(script), ..Client::default() }
     }
 
@@ -140,7 +152,8 @@
     ) -> Result<Response, Failure> {
         #[cfg(test)]
         if let Some(script) = &self.script {
-            return script(method, path, body);
+            let answer = script(method, path, body);
+            return timeout(within, answer).await.unwrap_or(Err(Failure::Lost));
         }
         let deadline = Instant::now() + within;
         let _in_use = InUse::new(&self.in_use);
--- a/crates/walnutlug/src/node.rs
+++ b/crates/walnutlug/src/node.rs
@@ -208,6 +208,33 @@
         }
     }
 
+    /// Tells the others how this node stands. To a leader's they answer how far their logs go.
+    fn tell_status(&self) -> bool {
+        let role = self.leadership.borrow().role();
+        let (term, leading) = match role {
+            Role::Leading { term } | Role::Loading { term } => (term, true),
+            Role::Following | Role::Standing => (0, false),
+        };
+        if leading {
+            self.watermark.borrow_mut().ask(self.now(), self.statuses.get());
+        }
+        self.tell_peers(&Frame::Status {
+            name: self.settings.node_name.clone(),
+            term,
+            leading,
+            served: self.state.served(),
+            redirected: self.redirected.get(),
+            life: self.life,
+            count: self.statuses.get(),
+        });
+        self.statuses.set(self.statuses.get() + 1);
+        if self.state.met_fall() {
+            // A node that comes to lead later would find out again, with refused writes.
+            self.tell_peers(&Frame::LimitsFell);
+        }
+        leading
+    }
+
     /// Tells the other nodes which of this one's cancellations they have not acknowledged yet.
     fn tell_cancelled(&self) {
         let now = self.now();
@@ -526,28 +553,7 @@
 async fn tell_status(node: Rc<Node>) {
     let mut count = 0u32;
     loop {
-        let role = node.leadership.borrow().role();
-        let (term, leading) = match role {
-            Role::Leading { term } | Role::Loading { term } => (term, true),
-            Role::Following | Role::Standing => (0, false),
-        };
-        if leading {
-            node.watermark.borrow_mut().ask(node.now(), node.statuses.get());
-        }
-        node.tell_peers(&Frame::Status {
-            name: node.settings.node_name.clone(),
-            term,
-            leading,
-            served: node.state.served(),
-            redirected: node.redirected.get(),
-            life: node.life,
-            count: node.statuses.get(),
-        });
-        node.statuses.set(node.statuses.get() + 1);
-        if node.state.met_fall() {
-            // A node that comes to lead later would find out again, with refused writes.
-            node.tell_peers(&Frame::LimitsFell);
-        }
+        let leading = node.tell_status();
         count += 1;
         if count.is_multiple_of(6) {
             node.redirected.set(0);
--- a/crates/walnutlug/src/node/lead.rs
+++ b/crates/walnutlug/src/node/lead.rs
@@ -347,7 +347,7 @@
 /// a leader without types rented and placed nothing until a price moved.)
 ///
 /// So may ends have that other nodes told meanwhile, which their word for them counts as known here.
-fn install(node: &Node, mut s: Scheduler) {
+pub(super) fn install(node: &Node, mut s: Scheduler) {
     s.set_types(node.types.borrow().clone());
     for (name, end) in node.ends_while_loading.borrow_mut().drain(..) {
         s.job_ended(node.now(), &name, end);
--- a/crates/walnutlug/src/node/tests.rs
+++ b/crates/walnutlug/src/node/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::users::stand_in::{Fault, StandIn};
+use crate::users::stand_in::{Cluster, Fault, StandIn};
 
 #[tokio::test(start_paused = true)]
 async fn a_node_alone_refused_is_not_ready_and_one_among_all_is() {
@@ -123,3 +123,177 @@
     assert_eq!(node.leadership.borrow().term(), None);
     assert_eq!(node.keeper().as_deref(), Some("kernel-1"));
 }
+
+const JOB: &str = "req-000412";
+
+/// A leader of a task that runs, and two other nodes, each heard by all and vouched for.
+async fn leader_with_a_task(store: &StandIn) -> Cluster {
+    let mut c = store.cluster(3);
+    store.put(&keys::job(JOB), serde_json::json!(1));
+    let node = c.nodes[0].clone();
+    let mut s = Scheduler::new(
+        node.site.clone(),
+        node.tunables.clone(),
+        5,
+        node.types.borrow().clone(),
+        node.now(),
+    );
+    let todo = serde_json::json!({"spec": {
+        "class": "c", "team": "one", "rank": "High", "tasks": 1, "cpus": 1.0, "gpus": 0.0,
+        "memory_gb": 1.0, "image": "i", "image_gb": 1.0, "types": null, "zone": null,
+        "one_zone": false, "spread": false, "spot": true, "estimate_s": 9.0,
+        "checkpoint_s": 0.0, "save_s": 0.0, "deadline_s": null}, "at": 1, "chunk": 50});
+    store.put(&keys::todo(JOB), todo.clone());
+    assert!(s.add_job(node.now(), JOB, &todo, node.wall_us()));
+    let value = serde_json::json!({"w": "x", "t": [[2, 1, "n-1", 1, 0]]});
+    s.load_runs(
+        node.now(),
+        &[walnutlug_core::wire::Pair { key: keys::run(JOB, 0), value, mark: 1 }],
+    );
+    for input in [Input::Vacant, Input::Won { term: 5 }, Input::Loaded { term: 5 }] {
+        node.leadership.borrow_mut().step(node.now(), input);
+    }
+    *node.scheduler.borrow_mut() = Some(s);
+    for _ in 0..2 {
+        for node in &c.nodes {
+            node.tell_status();
+        }
+        c.deliver(|_, _| true).await;
+        node.watermark.borrow_mut().read(node.now());
+    }
+    tokio::time::advance(Duration::from_millis(10)).await;
+    c
+}
+
+/// The worker reports its task. The answer's status and calls.
+fn hello(node: &Node, seq: u64) -> (u16, Vec<String>) {
+    let body = serde_json::json!({"tree": "n-1", "address": "10.0.0.1:1", "breed": "t8",
+        "grove": "east", "windfall": true, "season": 1, "ring": seq, "staff": 0, "shakeS": null,
+        "nuts": [{"nut": format!("{JOB}/0"), "try": 1, "stage": "running"}]});
+    let answer = workers::hello(node, body.to_string().as_bytes());
+    let told: serde_json::Value = serde_json::from_slice(&answer.body).expect("json");
+    let calls = told["calls"].as_array().into_iter().flatten();
+    (answer.status, calls.map(|c| c["call"].to_string()).collect())
+}
+
+/// The state service refuses the leader alone, another node confirms a cancellation, then the service
+/// is down for all. What the leader's worker is told, by what became of the frames.
+#[tokio::test(start_paused = true)]
+async fn the_gap_is_closed_whether_frames_arrive_or_not() {
+    tokio::task::LocalSet::new()
+        .run_until(async {
+            for (meeting, lost_for) in
+                [("frames arrive", 0), ("lost for a while", 3_000), ("lost for good", 60_000)]
+            {
+                let store = StandIn::default();
+                let mut c = leader_with_a_task(&store).await;
+                let leader = c.nodes[0].clone();
+                assert_eq!(hello(&leader, 1), (200, vec![]), "{meeting}");
+                let answer = users::withdraw(c.nodes[1].clone(), JOB).await;
+                assert_eq!(answer.status, 200, "{meeting}: nothing was confirmed");
+                let told = Instant::now();
+                store.fault(Fault::Down);
+                let asked = store.asked.get();
+                let window =
+                    Duration::from_micros(walnutlug_core::watermark::window(&leader.site).0);
+                let mut seq = 2;
+                let mut killed = false;
+                while told.elapsed() < Duration::from_secs(40) {
+                    let open = told.elapsed() >= Duration::from_millis(lost_for);
+                    for node in &c.nodes {
+                        node.tell_status();
+                    }
+                    c.deliver(|from, to| open || (from, to) != (1, 0)).await;
+                    let (status, calls) = hello(&leader, seq);
+                    seq += 1;
+                    let knows = !calls.is_empty();
+                    assert!(
+                        knows || status == 421 || told.elapsed() <= window,
+                        "{meeting}: renewed without a kill after {:?}",
+                        told.elapsed()
+                    );
+                    killed |= knows && status == 200;
+                    assert_eq!(knows, open && status == 200, "{meeting} at {:?}", told.elapsed());
+                    tokio::time::advance(Duration::from_secs(1)).await;
+                }
+                assert_eq!(killed, lost_for < 40_000, "{meeting}");
+                assert_eq!(store.asked.get(), asked, "{meeting}: the state service was down");
+            }
+        })
+        .await;
+}
+
+/// The node that confirmed it ends before a frame left it, and is back at once under its name.
+#[tokio::test(start_paused = true)]
+async fn a_node_that_came_back_vouches_for_nothing_of_its_former_self() {
+    tokio::task::LocalSet::new()
+        .run_until(async {
+            let store = StandIn::default();
+            let mut c = leader_with_a_task(&store).await;
+            let leader = c.nodes[0].clone();
+            assert_eq!(users::withdraw(c.nodes[1].clone(), JOB).await.status, 200);
+            // Lost with the process.
+            assert!(!c.take(1, 0).await.is_empty());
+            c.take(1, 2).await;
+            store.fault(Fault::Down);
+            let told = Instant::now();
+            let mut fresh = store.cluster(3);
+            let back = fresh.nodes[1].clone();
+            assert_ne!(back.life, c.nodes[1].life);
+            for seq in 2..42 {
+                leader.tell_status();
+                for frame in c.take(0, 1).await {
+                    back.peer_frame(frame);
+                }
+                back.tell_status();
+                for frame in fresh.take(1, 0).await {
+                    leader.peer_frame(frame);
+                }
+                c.deliver(|from, to| (from, to) == (2, 0) || (from, to) == (0, 2)).await;
+                let (status, calls) = hello(&leader, seq);
+                assert!(calls.is_empty());
+                let late = told.elapsed() > Duration::from_secs(20);
+                assert!(!late || status == 421, "renewed after {:?}", told.elapsed());
+                tokio::time::advance(Duration::from_secs(1)).await;
+            }
+            // The service is back, and its watch tells the end: killed, and renewed again.
+            store.fault(Fault::None);
+            leader.learn_end(JOB, End::Aborted);
+            leader.watermark.borrow_mut().read(leader.now());
+            let (status, calls) = hello(&leader, 50);
+            assert_eq!((status, calls.len()), (200, 1));
+        })
+        .await;
+}
+
+/// While the records are read, an answer would renew what may have been cancelled long ago.
+#[tokio::test(start_paused = true)]
+async fn a_leader_that_reads_its_records_renews_no_lease() {
+    let node = StandIn::default().node();
+    for input in [Input::Vacant, Input::Won { term: 5 }] {
+        node.leadership.borrow_mut().step(node.now(), input);
+    }
+    assert_eq!(hello(&node, 1).0, 421);
+}
+
+/// A cancellation that is heard of between the reading of the ends and the first round.
+#[tokio::test(start_paused = true)]
+async fn an_end_told_while_the_records_are_read_is_in_the_book() {
+    let store = StandIn::default();
+    let c = leader_with_a_task(&store).await;
+    let node = c.nodes[0].clone();
+    let book = node.scheduler.borrow_mut().take().expect("a book");
+    node.leadership.borrow_mut().step(node.now(), Input::Lost);
+    for input in [Input::Vacant, Input::Won { term: 6 }] {
+        node.leadership.borrow_mut().step(node.now(), input);
+    }
+    node.peer_frame(Frame::Cancelled {
+        node: "kernel-1".into(),
+        life: c.nodes[1].life,
+        first: 1,
+        jobs: vec![JOB.into()],
+    });
+    lead::install(&node, book);
+    let open = node.scheduler.borrow().as_ref().map(|s| s.open_jobs());
+    assert_eq!(open, Some(vec![]));
+}
--- a/crates/walnutlug/src/peers.rs
+++ b/crates/walnutlug/src/peers.rs
@@ -355,7 +355,9 @@
 }
 
 /// Reads one frame. `Ok(None)`: one of a kind that this version doesn't know.
-async fn read_frame<R: AsyncRead + Unpin>(from: &mut R) -> Result<Option<Frame>, &'static str> {
+pub(crate) async fn read_frame<R: AsyncRead + Unpin>(
+    from: &mut R,
+) -> Result<Option<Frame>, &'static str> {
     let mut head = [0u8; size_of::<Header>()];
     from.read_exact(&mut head).await.map_err(|_| "closed")?;
     let header = Header::read_from_bytes(&head).map_err(|_| "bad header")?;
--- a/crates/walnutlug/src/users.rs
+++ b/crates/walnutlug/src/users.rs
@@ -559,5 +559,7 @@
     state.commit(Class::Watch, &txn).await
 }
 
+#[cfg(test)]
+mod meetings_tests;
 #[cfg(test)]
 mod tests;
--- a/crates/walnutlug/src/users/stand_in.rs
+++ b/crates/walnutlug/src/users/stand_in.rs
@@ -4,12 +4,17 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use serde_json::{json, Value};
+use tokio::sync::mpsc;
+use tokio::time::{sleep, Duration};
 use walnutlug_core::tunables::Tunables;
 use walnutlug_core::wire::{Change, MachineType, Txn};
 
-use crate::http::client::{Client, Failure, Response};
+use crate::http::client::{Answering, Client, Failure, Response};
 use crate::node::Node;
+use crate::peers::{read_frame, Frame};
 use crate::settings::{tests::sample, Settings};
 
 #[derive(Clone, Copy, PartialEq)]
@@ -23,12 +28,53 @@
     Down,
 }
 
+/// Several nodes, and what each has sent to each other one.
+pub struct Cluster {
+    pub nodes: Vec<Rc<Node>>,
+    wires: Vec<(usize, usize, mpsc::Receiver<Rc<Vec<u8>>>)>,
+}
+
+impl Cluster {
+    /// What waits on the wire from one node to another, taken off it.
+    pub async fn take(&mut self, from: usize, to: usize) -> Vec<Frame> {
+        let mut frames = Vec::new();
+        let wire = self.wires.iter_mut().find(|w| (w.0, w.1) == (from, to)).expect("a wire");
+        while let Ok(bytes) = wire.2.try_recv() {
+            frames.push(read_frame(&mut bytes.as_slice()).await.expect("a frame").expect("known"));
+        }
+        frames
+    }
+
+    /// Delivers all that waits, and what comes of it, on the wires for which `open` holds; on all
+    /// others it is lost.
+    pub async fn deliver(&mut self, open: impl Fn(usize, usize) -> bool) {
+        for _ in 0..4 {
+            for i in 0..self.wires.len() {
+                let (from, to) = (self.wires[i].0, self.wires[i].1);
+                for frame in self.take(from, to).await {
+                    if open(from, to) {
+                        self.nodes[to].peer_frame(frame);
+                    }
+                }
+            }
+        }
+    }
+}
+
 #[derive(Clone)]
 pub struct StandIn {
     pub keys: Rc<RefCell<BTreeMap<String, (Value, u64)>>>,
     pub asked: Rc<Cell<u32>>,
     growth: Rc<Cell<u64>>,
     fault: Rc<Cell<Fault>>,
+    disorder: Rc<RefCell<Option<Disorder>>>,
+}
+
+struct Disorder {
+    rng: StdRng,
+    lost: f64,
+    late: f64,
+    seen: (u32, u32),
 }
 
 impl Default for StandIn {
@@ -38,6 +84,7 @@
             asked: Rc::default(),
             growth: Rc::default(),
             fault: Rc::new(Cell::new(Fault::None)),
+            disorder: Rc::default(),
         }
     }
 }
@@ -47,13 +94,48 @@
         self.fault.set(fault);
     }
 
+    /// The service is there again, if it was down.
+    pub fn mend(&self) {
+        if self.fault.get() == Fault::Down {
+            self.fault.set(Fault::None);
+        }
+    }
+
     /// A node that knows one machine type and asks this store.
     pub fn node(&self) -> Rc<Node> {
+        self.node_of(&sample(), Vec::new())
+    }
+
+    /// Nodes that ask this store and whose frames to each other the test holds.
+    pub fn cluster(&self, n: usize) -> Cluster {
+        let name = |i: usize| format!("kernel-{i}");
+        let mut cluster = Cluster { nodes: Vec::new(), wires: Vec::new() };
+        for i in 0..n {
+            let mut settings = sample();
+            let others = (0..n).filter(|&j| j != i);
+            let peer = |j: usize| {
+                let addr = format!("127.0.0.1:{}", 100 + j);
+                json!({"node_name": name(j), "zone": "west", "peer_addr": addr})
+            };
+            settings["node_name"] = json!(name(i));
+            settings["peers"] = others.clone().map(peer).collect();
+            let mut queues = Vec::new();
+            for to in others {
+                let (queue, wire) = mpsc::channel(1_000);
+                queues.push(queue);
+                cluster.wires.push((i, to, wire));
+            }
+            cluster.nodes.push(self.node_of(&settings, queues));
+        }
+        cluster
+    }
+
+    fn node_of(&self, settings: &Value, queues: Vec<mpsc::Sender<Rc<Vec<u8>>>>) -> Rc<Node> {
         let store = self.clone();
-        let script = move |method: &str, path: &str, body: &[u8]| store.say(method, path, body);
-        let client = Client::scripted(Box::new(script));
-        let settings = Settings::parse(&sample().to_string()).expect("settings");
-        let node = Node::new(settings, Tunables::default(), Rc::new(client), Vec::new());
+        let script = move |method: &str, path: &str, body: &[u8]| store.answer(method, path, body);
+        let client = Client::scripted_slow(Box::new(script));
+        let settings = Settings::parse(&settings.to_string()).expect("settings");
+        let node = Node::new(settings, Tunables::default(), Rc::new(client), queues);
         let node = node.expect("a node");
         node.types.borrow_mut().push(MachineType {
             name: "t8".into(),
@@ -75,6 +157,55 @@
         self.keys.borrow_mut().insert(key.into(), (value, self.growth.get()));
     }
 
+    /// The answer, in time or out of it.
+    fn answer(&self, method: &str, path: &str, body: &[u8]) -> Answering {
+        let write = path == "/multi";
+        let Some(disorder) = &mut *self.disorder.borrow_mut() else {
+            return Box::pin(std::future::ready(self.say(method, path, body)));
+        };
+        let ms = |rng: &mut StdRng, most| Duration::from_millis(rng.random_range(0..most));
+        let (before, after) = (ms(&mut disorder.rng, 40), ms(&mut disorder.rng, 40));
+        let chance = disorder.rng.random::<f64>();
+        let (store, method) = (self.clone(), method.to_owned());
+        let (path, body) = (path.to_owned(), body.to_vec());
+        if write && chance < disorder.lost {
+            disorder.seen.0 += 1;
+            // Carried out at once; nobody hears of it.
+            return Box::pin(async move {
+                sleep(before).await;
+                let _ = store.say(&method, &path, &body);
+                std::future::pending().await
+            });
+        }
+        if write && chance < disorder.lost + disorder.late {
+            disorder.seen.1 += 1;
+            let later = Duration::from_millis(disorder.rng.random_range(2_000..12_000));
+            tokio::task::spawn_local(async move {
+                sleep(later).await;
+                let _ = store.say(&method, &path, &body);
+            });
+            return Box::pin(std::future::pending());
+        }
+        Box::pin(async move {
+            sleep(before).await;
+            let said = store.say(&method, &path, &body);
+            sleep(after).await;
+            said
+        })
+    }
+
+    /// From here on answers take their time, and the given shares of transactions are carried out at
+    /// once, or much later, without one.
+    pub fn disorder(&self, seed: u64, lost: f64, late: f64) {
+        let rng = StdRng::seed_from_u64(seed);
+        *self.disorder.borrow_mut() = Some(Disorder { rng, lost, late, seen: (0, 0) });
+    }
+
+    /// Answers are prompt again. How many transactions were carried out unheard, and how many late.
+    pub fn order(&self) -> (u32, u32) {
+        self.disorder.borrow_mut().take().map_or((0, 0), |d| d.seen)
+    }
+
     fn say(&self, method: &str, path: &str, body: &[u8]) -> Result<Response, Failure> {
         self.asked.set(self.asked.get() + 1);
         let answer =
