--- /dev/null
+++ b/crates/core/tests/sim/mod.rs
@@ -0,0 +1,842 @@
+//! A small deployment in steps of a tenth of a second: workers with leases, one leader after another,
+//! users, and troubles laid over each other. The rules are looked at after every step. What a leader
+//! and a worker do is theirs; only the messages between them are the simulation's.
+#![allow(dead_code)]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::{json, Value};
+use walnutlug_core::book::{todo_value, Command, DirectOutcome, Outcome, Scheduler};
+use walnutlug_core::job::{keys, End, JobSpec};
+use walnutlug_core::time::{Span, Time};
+use walnutlug_core::tunables::{Site, Tunables};
+use walnutlug_core::wire::{Call, Cause, ListedMachine, MachineStage, Report, TaskStage, Txn};
+
+use crate::world::{self, Store, Worker};
+
+const STEP: Span = Span::millis(100);
+const START: Time = Time(1 << 40);
+const CHUNK: u32 = 20;
+
+/// A trouble, and for how long; shares are of a hundred machines, messages or jobs.
+#[derive(Debug, Clone, Copy)]
+pub enum Trouble {
+    /// The leader ends; another leads as soon as it can.
+    Crash,
+    /// All controllers are away.
+    Away(u64),
+    /// The state service refuses the leader alone, which is replaced unless it is down for all.
+    RefuseLeader(u64),
+    /// The leader loses the state service and the other nodes; another leads, and both reach workers.
+    CutLeader(u64),
+    Outage(u64),
+    /// Frames between nodes are lost.
+    PeersLost(u64),
+    /// Transactions are carried out, and nobody hears of it.
+    LostAnswers(u64, u64),
+    /// Transactions get no answer and are carried out 2 to 12 s later.
+    LateWrites(u64, u64),
+    /// Reports don't arrive; direct commands do.
+    Mute(u64, u64),
+    /// Reports arrive; answers and direct commands don't.
+    Deaf(u64, u64),
+    /// Neither.
+    CutMachines(u64, u64),
+    /// Neither, for the machines of one zone.
+    CutZone(&'static str, u64),
+    /// They stand still, and go on.
+    Hang(u64, u64),
+    Die(u64),
+    /// Direct commands are held up for two to nine seconds, and carried out then.
+    HoldCommands(u64, u64),
+    /// Copies of reports arrive again, up to two leases later, at whoever leads then.
+    LateReports(u64, u64),
+    /// The next leader hears old reports first.
+    ReportsForNext(u64),
+    /// Users cancel so many of the jobs that run.
+    Cancel(u64),
+    /// Jobs are cancelled in the step in which their last task ends.
+    CancelAtEnd(u64, u64),
+    /// So many jobs of that kind are submitted.
+    Submit(u64, Kind),
+    /// Jobs of one task, two in three steps, a quarter of them cancelled soon.
+    Ones(u64),
+    /// New machines are up at once, and until then more are to be had.
+    Boots(u64),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    Plain(u32),
+    /// Of a team at its limit.
+    Capped(u32),
+    /// Bound to zone a.
+    Bound(u32),
+    Together(u32),
+    Spread(u32),
+    Urgent(u32),
+    /// Its tasks take long.
+    Long(u32),
+}
+
+struct Leader {
+    s: Scheduler,
+    /// When it was last served by the state service.
+    served: Time,
+    /// Up to when it is cut from the state service, and from the other nodes.
+    no_state: Time,
+    no_peers: Time,
+    known: Time,
+    hears_at: Time,
+}
+
+struct Machine {
+    worker: Worker,
+    renewed: Time,
+    report_at: Time,
+    up_at: Time,
+    mute: Time,
+    deaf: Time,
+    hung: Time,
+    /// Messages that came while it hung or that were held up.
+    held: Vec<(Time, u64, u64, Vec<Call>)>,
+    ran: BTreeMap<(String, u64), Span>,
+    gone: bool,
+}
+
+struct Job {
+    spec: JobSpec,
+    told: Option<Time>,
+    runs: Span,
+}
+
+enum Event {
+    Answer {
+        term: u64,
+        id: u64,
+        outcome: Outcome,
+    },
+    Read {
+        term: u64,
+        id: u64,
+        answer: Option<(Value, u64)>,
+    },
+    Direct {
+        term: u64,
+        machine: u32,
+        outcome: DirectOutcome,
+    },
+    /// A transaction that nobody waits for any more.
+    Late(Txn),
+    Copy(Report),
+    Told {
+        job: String,
+    },
+}
+
+pub struct Sim {
+    pub now: Time,
+    what: String,
+    rng: StdRng,
+    site: Rc<Site>,
+    store: Store,
+    leaders: Vec<Leader>,
+    elect_at: Option<Time>,
+    machines: BTreeMap<String, Machine>,
+    jobs: BTreeMap<String, Job>,
+    events: Vec<(Time, Event)>,
+    until: BTreeMap<&'static str, (u64, Time)>,
+    boots: Time,
+    kept: Vec<Report>,
+    next_machine: u32,
+    next_job: u32,
+    /// What came to pass, to see that a meeting took place.
+    pub seen: BTreeMap<&'static str, u64>,
+}
+
+impl Sim {
+    pub fn new(what: String, seed: u64) -> Sim {
+        let site = Rc::new(world::site());
+        let mut sim = Sim {
+            now: START,
+            what,
+            rng: StdRng::seed_from_u64(seed),
+            site,
+            store: Store::default(),
+            leaders: Vec::new(),
+            elect_at: Some(START),
+            machines: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            events: Vec::new(),
+            until: BTreeMap::new(),
+            boots: START,
+            kept: Vec::new(),
+            next_machine: 0,
+            next_job: 0,
+            seen: BTreeMap::new(),
+        };
+        for i in 0..8 {
+            sim.boot(if i % 2 == 0 { "a" } else { "b" }, START);
+        }
+        sim
+    }
+
+    fn chance(&mut self, percent: u64) -> bool {
+        self.rng.random_range(0..100) < percent
+    }
+
+    fn between(&mut self, from: u64, to: u64) -> u64 {
+        self.rng.random_range(from..to)
+    }
+
+    fn in_ms(&mut self, from: u64, to: u64) -> Time {
+        let ms = self.between(from, to);
+        self.now + Span::millis(ms)
+    }
+
+    fn saw(&mut self, what: &'static str) {
+        *self.seen.entry(what).or_default() += 1;
+    }
+
+    fn on(&self, trouble: &'static str) -> Option<u64> {
+        self.until.get(trouble).filter(|u| self.now < u.1).map(|u| u.0)
+    }
+
+    fn boot(&mut self, zone: &str, up_at: Time) -> String {
+        self.next_machine += 1;
+        let name = format!("n-{:03}", self.next_machine);
+        let machine = Machine {
+            worker: Worker::new(&name, zone),
+            renewed: up_at,
+            report_at: up_at,
+            up_at,
+            mute: START,
+            deaf: START,
+            hung: START,
+            held: Vec::new(),
+            ran: BTreeMap::new(),
+            gone: false,
+        };
+        self.machines.insert(name.clone(), machine);
+        name
+    }
+
+    fn some_machines(&mut self, percent: u64) -> Vec<String> {
+        let names: Vec<String> = self.machines.keys().cloned().collect();
+        let picked: Vec<String> = names.iter().filter(|_| self.chance(percent)).cloned().collect();
+        if picked.is_empty() {
+            names.into_iter().take(1).collect()
+        } else {
+            picked
+        }
+    }
+
+    pub fn trouble(&mut self, trouble: Trouble) {
+        let end = |sim: &Sim, ms: u64| sim.now + Span::millis(ms);
+        let spell = |sim: &mut Sim, what: &'static str, share: u64, ms: u64| {
+            sim.until.insert(what, (share, sim.now + Span::millis(ms)));
+        };
+        match trouble {
+            Trouble::Crash => {
+                if self.leaders.pop().is_some() {
+                    self.saw("leader ended");
+                }
+                self.elect_at = Some(end(self, 3_500));
+            }
+            Trouble::Away(ms) => {
+                self.leaders.clear();
+                self.saw("all away");
+                self.elect_at = Some(end(self, ms));
+            }
+            Trouble::RefuseLeader(ms) => {
+                let until = end(self, ms);
+                if let Some(l) = self.leaders.last_mut() {
+                    l.no_state = until;
+                    self.elect_at = Some(end(self, 3_000));
+                    self.saw("leader refused alone");
+                }
+            }
+            Trouble::CutLeader(ms) => {
+                let until = end(self, ms);
+                if let Some(l) = self.leaders.last_mut() {
+                    (l.no_state, l.no_peers) = (until, until);
+                    self.elect_at = Some(end(self, 3_000));
+                    self.saw("leader cut");
+                }
+            }
+            Trouble::Outage(ms) => spell(self, "outage", 0, ms),
+            Trouble::PeersLost(ms) => spell(self, "peers", 0, ms),
+            Trouble::LostAnswers(share, ms) => spell(self, "lost", share, ms),
+            Trouble::LateWrites(share, ms) => spell(self, "late", share, ms),
+            Trouble::HoldCommands(share, ms) => spell(self, "hold", share, ms),
+            Trouble::LateReports(share, ms) => spell(self, "copies", share, ms),
+            Trouble::ReportsForNext(ms) => spell(self, "next", 0, ms),
+            Trouble::CancelAtEnd(share, ms) => spell(self, "at end", share, ms),
+            Trouble::Ones(ms) => spell(self, "ones", 0, ms),
+            Trouble::Boots(ms) => self.boots = end(self, ms),
+            Trouble::Mute(share, ms)
+            | Trouble::Deaf(share, ms)
+            | Trouble::CutMachines(share, ms)
+            | Trouble::Hang(share, ms) => {
+                let until = end(self, ms);
+                for name in self.some_machines(share) {
+                    self.touch(&name, trouble, until);
+                }
+            }
+            Trouble::CutZone(zone, ms) => {
+                let until = end(self, ms);
+                let there = |m: &&Machine| m.worker.zone == zone;
+                let names: Vec<String> =
+                    self.machines.values().filter(there).map(|m| m.worker.name.clone()).collect();
+                for name in names {
+                    self.touch(&name, Trouble::CutMachines(0, 0), until);
+                }
+            }
+            Trouble::Die(n) => {
+                for name in self.some_machines(40).into_iter().take(n as usize) {
+                    let m = self.machines.get_mut(&name).expect("machine");
+                    m.gone = true;
+                    m.worker.alive = false;
+                    self.saw("machines died");
+                }
+            }
+            Trouble::Cancel(n) => {
+                let live = self.live();
+                let running: Vec<String> = self
+                    .jobs
+                    .iter()
+                    .filter(|(name, j)| {
+                        j.told.is_none()
+                            && live.keys().any(|t| t.0.starts_with(&format!("{name}/")))
+                    })
+                    .map(|(name, _)| name.clone())
+                    .collect();
+                for name in running.into_iter().take(n as usize) {
+                    self.cancel(&name);
+                }
+            }
+            Trouble::Submit(n, kind) => {
+                for _ in 0..n {
+                    self.submit(kind);
+                }
+            }
+        }
+    }
+
+    fn touch(&mut self, name: &str, trouble: Trouble, until: Time) {
+        let holds = self.machines.get(name).is_some_and(|m| !m.worker.live().is_empty());
+        let Some(m) = self.machines.get_mut(name) else { return };
+        let what = match trouble {
+            Trouble::Mute(..) => {
+                m.mute = until;
+                "mute with tasks"
+            }
+            Trouble::Deaf(..) => {
+                m.deaf = until;
+                "deaf with tasks"
+            }
+            Trouble::Hang(..) => {
+                m.hung = until;
+                "hung with tasks"
+            }
+            _ => {
+                (m.mute, m.deaf) = (until, until);
+                "cut with tasks"
+            }
+        };
+        if holds {
+            self.saw(what);
+        }
+    }
+
+    pub fn submit(&mut self, kind: Kind) {
+        if self.on("outage").is_some() {
+            return;
+        }
+        self.next_job += 1;
+        let name = format!("req-{:06}", self.next_job);
+        let mut runs = Span::secs(7);
+        let plain = |n| JobSpec { deadline_s: Some(60.0), ..world::spec(n) };
+        let spec = match kind {
+            Kind::Plain(n) => plain(n),
+            Kind::Capped(n) => JobSpec { team: "capped".into(), ..plain(n) },
+            Kind::Bound(n) => JobSpec { zone: Some("a".into()), ..plain(n) },
+            Kind::Together(n) => JobSpec { one_zone: true, ..plain(n) },
+            Kind::Spread(n) => JobSpec { spread: true, ..plain(n) },
+            Kind::Urgent(n) => JobSpec { rank: walnutlug_core::job::Rank::High, ..plain(n) },
+            Kind::Long(n) => {
+                runs = Span::secs(60);
+                JobSpec { estimate_s: 60.0, deadline_s: Some(200.0), ..plain(n) }
+            }
+        };
+        let value = todo_value(&spec, world::WALL + (self.now.0 - START.0), CHUNK);
+        self.store.put(&keys::job(&name), json!(1));
+        self.store.put(&keys::todo(&name), value);
+        self.jobs.insert(name, Job { spec, told: None, runs });
+    }
+
+    /// Another node writes the end, as the user asks; the user is told, and the others hear of it.
+    fn cancel(&mut self, name: &str) {
+        let key = keys::end(name);
+        if self.on("outage").is_some() || self.store.keys.contains_key(&key) {
+            return;
+        }
+        self.store.put(&key, json!("aborted"));
+        self.jobs.get_mut(name).expect("job").told = Some(self.now);
+        self.saw("cancelled");
+        for (what, met) in [
+            ("cancelled while the leader was cut", "leader cut"),
+            ("cancelled while the leader was refused", "leader refused alone"),
+        ] {
+            let cut = self.leaders.iter().any(|l| l.no_state > self.now);
+            if cut && self.seen.contains_key(met) {
+                self.saw(what);
+            }
+        }
+        if self.elect_at.is_some() {
+            self.saw("cancelled while the lead changed hands");
+        }
+        let ill = |m: &&Machine| m.hung > self.now || m.deaf > self.now || m.mute > self.now;
+        let prefix = format!("{name}/");
+        let there = |m: &&Machine| m.worker.live().iter().any(|t| t.starts_with(&prefix));
+        if self.machines.values().filter(ill).any(|m| there(&m)) {
+            self.saw("cancelled on an ill machine");
+        }
+        let at = self.now + STEP;
+        self.events.push((at, Event::Told { job: name.to_owned() }));
+    }
+
+    /// Live tasks with their attempts, and where.
+    fn live(&self) -> BTreeMap<(String, u64), Vec<String>> {
+        let mut live: BTreeMap<(String, u64), Vec<String>> = BTreeMap::new();
+        for (name, m) in self.machines.iter().filter(|(_, m)| !m.gone) {
+            for (key, state) in &m.worker.tasks {
+                if state.0 != TaskStage::Exited {
+                    live.entry(key.clone()).or_default().push(name.clone());
+                }
+            }
+        }
+        live
+    }
+
+    fn elect(&mut self) {
+        if self.elect_at.is_none_or(|at| self.now < at) || self.on("outage").is_some() {
+            return;
+        }
+        self.elect_at = None;
+        self.saw("elected");
+        let term = self.store.put(keys::LEADER, json!(self.now.0));
+        let tunables = Rc::new(Tunables::default());
+        let mut s = Scheduler::new(self.site.clone(), tunables, term, world::types(), self.now);
+        let wall = world::WALL + (self.now.0 - START.0);
+        for pair in self.store.pairs(keys::TODO) {
+            let name = pair.key.strip_prefix(keys::TODO).expect("a description").to_owned();
+            s.add_job(self.now, &name, &pair.value, wall);
+        }
+        let strange = s.load_runs(self.now, &self.store.pairs(keys::RUN));
+        assert!(strange.is_empty(), "{}: {strange:?}", self.what);
+        let names: Vec<String> = s.by_ref.keys().cloned().collect();
+        for name in names.iter().filter(|n| self.store.keys.contains_key(&keys::end(n))) {
+            s.job_over(self.now, name);
+        }
+        let (now, then) = (self.now, self.now);
+        self.leaders.push(Leader {
+            s,
+            served: now,
+            no_state: START,
+            no_peers: START,
+            known: then,
+            hears_at: now,
+        });
+        // What was kept for it arrives first of all.
+        for report in std::mem::take(&mut self.kept) {
+            self.saw("old reports at a new leader");
+            let _ = self.leaders.last_mut().expect("leader").s.report(now, &report);
+        }
+    }
+
+    fn step(&mut self) {
+        self.now = self.now + STEP;
+        self.elect();
+        if self.on("ones").is_some() && self.chance(66) {
+            self.submit(Kind::Plain(1));
+            if self.chance(25) {
+                let name = format!("req-{:06}", self.next_job);
+                let at = self.in_ms(0, 9_000);
+                self.events.push((at, Event::Told { job: format!("!{name}") }));
+            }
+        }
+        let (due, rest): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.events).into_iter().partition(|e| e.0 <= self.now);
+        self.events = rest;
+        for (_, event) in due {
+            self.happen(event);
+        }
+        let names: Vec<String> = self.machines.keys().cloned().collect();
+        for name in &names {
+            self.work(name);
+        }
+        for i in 0..self.leaders.len() {
+            self.lead(i);
+        }
+        self.leaders.retain(|l| l.served != Time(0));
+        self.check();
+    }
+
+    fn happen(&mut self, event: Event) {
+        let now = self.now;
+        let by_term = |sim: &mut Sim, term: u64, f: &mut dyn FnMut(&mut Scheduler)| {
+            if let Some(l) = sim.leaders.iter_mut().find(|l| l.s.term == term) {
+                f(&mut l.s);
+            }
+        };
+        match event {
+            Event::Answer { term, id, outcome } => {
+                by_term(self, term, &mut |s| s.txn_answer(now, id, outcome.clone()));
+            }
+            Event::Read { term, id, answer } => {
+                by_term(self, term, &mut |s| s.read_answer(now, id, answer.clone()));
+            }
+            Event::Direct { term, machine, outcome } => {
+                by_term(self, term, &mut |s| s.direct_answer(now, machine, outcome.clone()));
+            }
+            Event::Late(txn) => {
+                if self.on("outage").is_none() {
+                    let _ = self.store.apply(&txn);
+                    self.saw("carried out late");
+                }
+            }
+            Event::Copy(report) => {
+                if let Some(l) = self.leaders.last_mut() {
+                    let _ = l.s.report(now, &report);
+                    self.saw("copies of reports");
+                }
+            }
+            Event::Told { job } => {
+                if let Some(name) = job.strip_prefix('!') {
+                    return self.cancel(&name.to_owned());
+                }
+                let lost = self.on("peers").is_some();
+                for l in self.leaders.iter_mut().filter(|l| !lost && l.no_peers <= now) {
+                    l.s.job_ended(now, &job, End::Aborted);
+                }
+            }
+        }
+    }
+
+    /// One machine's step: its lease, what was held up for it, its tasks, its report.
+    fn work(&mut self, name: &str) {
+        let now = self.now;
+        let m = self.machines.get_mut(name).expect("machine");
+        if m.gone || now < m.up_at {
+            return;
+        }
+        if now.since(m.renewed) > self.site.lease {
+            m.worker.lease_ends();
+            m.renewed = now;
+            m.report_at = now;
+        }
+        if now < m.hung {
+            return;
+        }
+        let (due, rest): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut m.held).into_iter().partition(|h| h.0 <= now);
+        m.held = rest;
+        let late = due.len();
+        for (_, token, session, calls) in due {
+            m.worker.direct(token, session, &calls);
+        }
+        let mut ended = Vec::new();
+        for (key, state) in &mut m.worker.tasks {
+            if state.0 == TaskStage::Exited {
+                continue;
+            }
+            let ran = m.ran.entry(key.clone()).or_default();
+            *ran = *ran + STEP;
+            let job = key.0.split('/').next().unwrap_or_default();
+            if self.jobs.get(job).is_some_and(|j| *ran >= j.runs) {
+                *state = (TaskStage::Exited, Some(Cause::Done));
+                m.report_at = now;
+                ended.push(job.to_owned());
+            }
+        }
+        for _ in 0..late {
+            self.saw("commands held up");
+        }
+        for job in ended {
+            if self.on("at end").is_some_and(|share| self.chance(share)) {
+                self.saw("cancelled at the end");
+                self.cancel(&job);
+            }
+        }
+        let m = self.machines.get_mut(name).expect("machine");
+        if now < m.report_at || now < m.mute {
+            return;
+        }
+        let report = m.worker.report();
+        m.report_at = now + self.site.report;
+        // To the newest leader, but to one that was cut off while it still answers.
+        let cut = self.leaders.len().saturating_sub(2);
+        let stays = self.leaders.len() > 1 && name.as_bytes()[4] % 2 == 0;
+        let at = if stays { cut } else { self.leaders.len().saturating_sub(1) };
+        let answer = match self.leaders.get_mut(at) {
+            Some(l) => {
+                l.s.known_until = l.known;
+                l.s.report(now, &report)
+            }
+            None => None,
+        };
+        if stays {
+            self.saw("a report to the former leader");
+        }
+        let answer = match (answer, stays) {
+            (None, true) => {
+                // 421: it goes over.
+                let l = self.leaders.last_mut().expect("leader");
+                l.s.known_until = l.known;
+                l.s.report(now, &report)
+            }
+            (answer, _) => answer,
+        };
+        if self.on("copies").is_some_and(|share| self.chance(share)) {
+            let at = self.in_ms(2_000, 2 * self.site.lease.0 / 1_000);
+            self.events.push((at, Event::Copy(report.clone())));
+        }
+        if self.on("next").is_some() {
+            self.kept.push(report.clone());
+        }
+        let m = self.machines.get_mut(name).expect("machine");
+        if let Some((token, calls)) = answer.filter(|_| now >= m.deaf) {
+            if token >= m.worker.token && report.session == m.worker.session {
+                m.renewed = now;
+            }
+            m.worker.answered(report.session, token, &calls);
+        }
+    }
+
+    /// One leader's step: what it hears, what it decides, what is done of it.
+    fn lead(&mut self, i: usize) {
+        let now = self.now;
+        let outage = self.on("outage").is_some();
+        let peers = self.on("peers").is_none();
+        let l = &mut self.leaders[i];
+        let served = !outage && now >= l.no_state;
+        if served {
+            l.served = now;
+            if now >= l.hears_at {
+                l.hears_at = now + Span::millis(300);
+                l.known = now;
+                let wall = world::WALL + (now.0 - START.0);
+                for pair in self.store.pairs(keys::TODO) {
+                    let name = pair.key.strip_prefix(keys::TODO).expect("a description");
+                    l.s.add_job(now, name, &pair.value, wall);
+                }
+                for name in l.s.open_jobs() {
+                    if let Some((end, _)) = self.store.keys.get(&keys::end(&name)) {
+                        let end = serde_json::from_value(end.clone()).expect("an end");
+                        l.s.job_ended(now, &name, end);
+                    }
+                }
+            }
+        } else if peers && now >= l.no_peers {
+            l.known = l.known.max(now - Span::secs(1));
+        }
+        l.s.known_until = l.known;
+        l.s.in_office = now.since(l.served) < Span::millis(2_400);
+        l.s.tick(now);
+        l.s.look_at_fleet(now);
+        if now.0 % 3_000_000 < STEP.0 {
+            let list: Vec<ListedMachine> = self
+                .machines
+                .values()
+                .filter(|m| !m.gone)
+                .map(|m| ListedMachine {
+                    name: m.worker.name.clone(),
+                    address: Some("10.0.0.1:1".into()),
+                    kind: "t8".into(),
+                    zone: m.worker.zone.clone(),
+                    spot: false,
+                    stage: if now >= m.up_at {
+                        MachineStage::Running
+                    } else {
+                        MachineStage::Booting
+                    },
+                    age_s: now.since(m.up_at).as_secs(),
+                })
+                .collect();
+            l.s.machine_list(now, &list);
+        }
+        let term = l.s.term;
+        let commands = l.s.take_commands();
+        for command in commands {
+            self.carry_out(i, term, served, command);
+        }
+    }
+
+    fn carry_out(&mut self, i: usize, term: u64, served: bool, command: Command) {
+        match command {
+            Command::Note(_) | Command::FindEnds { .. } => {}
+            Command::CheckLead | Command::StepDown(_) => {
+                let mark = self.store.keys.get(keys::LEADER).map_or(0, |k| k.1);
+                let down = matches!(command, Command::StepDown(_));
+                if served && (down || mark != term) {
+                    self.leaders[i].served = Time(0);
+                    if mark == term {
+                        self.elect_at.get_or_insert(self.now + Span::millis(500));
+                    }
+                }
+            }
+            Command::Commit { id, txn } => {
+                let answer = |at, outcome| (at, Event::Answer { term, id, outcome });
+                let soon = self.in_ms(10, 150);
+                if !served {
+                    return self.events.push(answer(soon, Outcome::Refused));
+                }
+                let never = self.now + Span::millis(900);
+                if self.on("late").is_some_and(|share| self.chance(share)) {
+                    let at = self.in_ms(2_000, 12_000);
+                    self.events.push((at, Event::Late(txn)));
+                    return self.events.push(answer(never, Outcome::Lost));
+                }
+                let outcome = self.store.apply(&txn);
+                if self.on("lost").is_some_and(|share| self.chance(share)) {
+                    self.saw("carried out unheard");
+                    return self.events.push(answer(never, Outcome::Lost));
+                }
+                self.events.push(answer(soon, outcome));
+            }
+            Command::Read { id, key } => {
+                let stored = self.store.keys.get(&key).cloned().unwrap_or((Value::Null, 0));
+                let answer = served.then_some(stored);
+                let at = self.in_ms(10, 150);
+                self.events.push((at, Event::Read { term, id, answer }));
+            }
+            Command::Direct { machine, token, session, calls, .. } => {
+                let name = self.leaders[i].s.machines[machine as usize].name.clone();
+                let answer = |at, outcome| (at, Event::Direct { term, machine, outcome });
+                let late = self.now + Span::secs(2);
+                let now = self.now;
+                let held = self.on("hold").is_some_and(|share| self.chance(share));
+                let held_until = self.in_ms(2_500, 9_000);
+                let soon = self.in_ms(10, 150);
+                let Some(m) = self.machines.get_mut(&name) else {
+                    return self.events.push(answer(soon, DirectOutcome::NotSent));
+                };
+                if m.gone || now < m.up_at || now < m.deaf {
+                    return self.events.push(answer(late, DirectOutcome::Lost));
+                }
+                if now < m.hung || held {
+                    let at = if held { held_until.max(m.hung) } else { m.hung };
+                    m.held.push((at, token, session, calls));
+                    return self.events.push(answer(late, DirectOutcome::Lost));
+                }
+                let report = m.worker.direct(token, session, &calls);
+                if !calls.is_empty() {
+                    // A change of its tasks is reported, within half a second.
+                    m.report_at = m.report_at.min(now + Span::millis(500));
+                }
+                let outcome = DirectOutcome::Answered(Box::new(report));
+                self.events.push(answer(soon, outcome));
+            }
+            Command::Rent { kind, zone, spot, count } => {
+                let now = self.now;
+                let most =
+                    14usize.saturating_sub(self.machines.values().filter(|m| !m.gone).count());
+                let mut names = Vec::new();
+                for _ in 0..(count as usize).min(most) {
+                    let ms = if now < self.boots { self.between(300, 1_900) } else { 12_000 };
+                    if now < self.boots {
+                        self.saw("up within two seconds");
+                    }
+                    names.push(self.boot(&zone, now + Span::millis(ms)));
+                }
+                self.leaders[i].s.rented(now, &kind, &zone, spot, count, Ok(names));
+            }
+            Command::Return { machines } => {
+                for name in &machines {
+                    if let Some(m) = self.machines.get_mut(name) {
+                        m.gone = true;
+                        m.worker.alive = false;
+                    }
+                }
+                let now = self.now;
+                self.leaders[i].s.returned(now, &machines, true);
+            }
+        }
+    }
+
+    /// The rules, as of this step.
+    fn check(&mut self) {
+        let live = self.live();
+        let mut places: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
+        let mut capped = 0.0;
+        let mut zones: BTreeMap<&str, BTreeMap<&str, u32>> = BTreeMap::new();
+        for ((task, _), machines) in &live {
+            let (job, _) = task.split_once('/').expect("a task");
+            let spec = &self.jobs[job].spec;
+            for m in machines {
+                places.entry(task).or_default().push(m);
+                let zone = self.machines[m].worker.zone.as_str();
+                *zones.entry(job).or_default().entry(zone).or_default() += 1;
+                if spec.team == "capped" {
+                    capped += spec.cpus;
+                }
+            }
+        }
+        let at = self.now.since(START).as_secs();
+        let what = format!("{} at {at:.1} s", self.what);
+        for (task, machines) in &places {
+            assert_eq!(machines.len(), 1, "ran_twice, {what}: {task} on {machines:?}");
+        }
+        assert!(capped <= 4.0 + 1e-9, "quota, {what}: {capped}");
+        for (job, zones) in &zones {
+            let spec = &self.jobs[*job].spec;
+            let most = zones.values().max().copied().unwrap_or(0);
+            let half = spec.tasks.div_ceil(2);
+            assert!(!spec.spread || most <= half, "wrong_place, {what}: {job} {zones:?}");
+            assert!(!spec.one_zone || zones.len() == 1, "wrong_place, {what}: {job} {zones:?}");
+            let bound = spec.zone.as_deref().is_none_or(|z| zones.keys().all(|k| *k == z));
+            assert!(bound, "wrong_place, {what}: {job} {zones:?}");
+            if let Some(told) = self.jobs[*job].told {
+                let ago = self.now.since(told);
+                assert!(ago <= self.site.cancel, "ran_cancelled, {what}: {job}, {zones:?}");
+            }
+        }
+        if capped >= 4.0 {
+            self.saw("team at its limit");
+        }
+    }
+
+    /// Plays the script, then a time without troubles; then nothing may be left.
+    pub fn play(&mut self, script: &[(u64, Trouble)], for_s: u64) {
+        let mut script: Vec<(u64, Trouble)> = script.to_vec();
+        script.sort_by_key(|s| s.0);
+        let mut script = script.into_iter().peekable();
+        while self.now.since(START) < Span::secs(for_s) {
+            while script.peek().is_some_and(|s| Span::millis(s.0) <= self.now.since(START)) {
+                let (_, trouble) = script.next().expect("a trouble");
+                self.trouble(trouble);
+            }
+            self.step();
+        }
+        for _ in 0..3_600 {
+            if self.left().is_empty() {
+                return;
+            }
+            self.step();
+        }
+        panic!("{}: six minutes after all troubles are left: {:?}", self.what, self.left());
+    }
+
+    /// Jobs without an end, and records of those that have one.
+    fn left(&self) -> BTreeSet<String> {
+        let open = self.jobs.keys().filter(|n| !self.store.keys.contains_key(&keys::end(n)));
+        let records = self.store.keys.keys().filter(|k| k.starts_with(keys::DESCRIPTIONS));
+        let mut left: BTreeSet<String> = open.cloned().collect();
+        left.extend(records.cloned());
+        left
+    }
+}
