--- a/crates/core/tests/sim/mod.rs
+++ b/crates/core/tests/sim/mod.rs
@@ -13,7 +13,9 @@
 use walnutlug_core::job::{keys, End, JobSpec};
 use walnutlug_core::time::{Span, Time};
 use walnutlug_core::tunables::{Site, Tunables};
-use walnutlug_core::wire::{Call, Cause, ListedMachine, MachineStage, Report, TaskStage, Txn};
+use walnutlug_core::wire::{
+    Call, Cause, Change, ListedMachine, MachineStage, Report, TaskStage, Txn,
+};
 
 use crate::world::{self, Store, Worker};
 
@@ -486,6 +488,24 @@
         self.check();
     }
 
+    /// Carries a transaction out. Nobody but the leader of the newest term writes records, and none of
+    /// a job that has ended for its user but to drop it.
+    fn apply(&mut self, txn: &Txn) -> Outcome {
+        let outcome = self.store.apply(txn);
+        if matches!(outcome, Outcome::Committed { .. }) {
+            let term = self.store.keys.get(keys::LEADER).map_or(0, |k| k.1);
+            let guarded = txn.guards.iter().any(|g| g.key == keys::LEADER && g.mark == term);
+            assert!(guarded, "{}: written by a deposed leader: {txn:?}", self.what);
+            for change in &txn.apply {
+                let Change::Put { put, .. } = change else { continue };
+                let Some((job, ..)) = keys::split_run(put) else { continue };
+                let ended = self.store.keys.contains_key(&keys::end(job));
+                assert!(!ended, "{}: {put} written after its job's end", self.what);
+            }
+        }
+        outcome
+    }
+
     fn happen(&mut self, event: Event) {
         let now = self.now;
         let by_term = |sim: &mut Sim, term: u64, f: &mut dyn FnMut(&mut Scheduler)| {
@@ -505,7 +525,7 @@
             }
             Event::Late(txn) => {
                 if self.on("outage").is_none() {
-                    let _ = self.store.apply(&txn);
+                    let _ = self.apply(&txn);
                     self.saw("carried out late");
                 }
             }
@@ -517,7 +537,8 @@
             }
             Event::Told { job } => {
                 if let Some(name) = job.strip_prefix('!') {
-                    return self.cancel(&name.to_owned());
+                    let name = name.to_owned();
+                    return self.cancel(&name);
                 }
                 let lost = self.on("peers").is_some();
                 for l in self.leaders.iter_mut().filter(|l| !lost && l.no_peers <= now) {
@@ -580,7 +601,7 @@
         m.report_at = now + self.site.report;
         // To the newest leader, but to one that was cut off while it still answers.
         let cut = self.leaders.len().saturating_sub(2);
-        let stays = self.leaders.len() > 1 && name.as_bytes()[4] % 2 == 0;
+        let stays = self.leaders.len() > 1 && name.as_bytes()[4].is_multiple_of(2);
         let at = if stays { cut } else { self.leaders.len().saturating_sub(1) };
         let answer = match self.leaders.get_mut(at) {
             Some(l) => {
@@ -701,7 +722,7 @@
                     self.events.push((at, Event::Late(txn)));
                     return self.events.push(answer(never, Outcome::Lost));
                 }
-                let outcome = self.store.apply(&txn);
+                let outcome = self.apply(&txn);
                 if self.on("lost").is_some_and(|share| self.chance(share)) {
                     self.saw("carried out unheard");
                     return self.events.push(answer(never, Outcome::Lost));
--- a/crates/walnutlug/src/users/stand_in.rs
+++ b/crates/walnutlug/src/users/stand_in.rs
@@ -28,10 +28,13 @@
     Down,
 }
 
+/// From one node to another, by their numbers.
+type Wire = (usize, usize, mpsc::Receiver<Rc<Vec<u8>>>);
+
 /// Several nodes, and what each has sent to each other one.
 pub struct Cluster {
     pub nodes: Vec<Rc<Node>>,
-    wires: Vec<(usize, usize, mpsc::Receiver<Rc<Vec<u8>>>)>,
+    wires: Vec<Wire>,
 }
 
 impl Cluster {
