--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -140,8 +140,6 @@
     pub tasks: BTreeSet<TaskId>,
     /// Tasks that it reports and the book doesn't place there: room that can't be counted on.
     pub foreign: u32,
-    /// The newest token that an answer to a report told it, and when.
-    pub told: (u64, Time),
     pub cpus: f64,
     pub gpus: f64,
     pub memory: f64,
@@ -302,6 +300,9 @@
     /// Every cancellation that any user was told of before this is in the book; see
     /// [`crate::watermark`].
     pub known_until: Time,
+    /// Tasks that a machine shows live under an attempt that is not the book's, and where. Whatever
+    /// the book says, they are there.
+    pub(crate) strays: BTreeMap<TaskId, MachineIx>,
     /// What was logged of odd reports, each once.
     pub(crate) odd: BTreeSet<(String, &'static str)>,
     /// Processors of the machines that are up, as of the last round.
@@ -391,6 +392,7 @@
             dirty: true,
             in_office: true,
             known_until: now,
+            strays: BTreeMap::new(),
             odd: BTreeSet::new(),
             fleet_cpus: 0.0,
             last_preempt: Time(0),
@@ -660,7 +662,6 @@
             notice: None,
             tasks: BTreeSet::new(),
             foreign: 0,
-            told: (0, Time(0)),
             cpus: 0.0,
             gpus: 0.0,
             memory: 0.0,
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -598,7 +598,8 @@
                 self.step(now, id, Input::Absent);
                 continue;
             }
-            if !self.may_start(now, task.since) {
+            // One that a machine shows live against the book is stopped there first.
+            if !self.may_start(now, task.since) || self.strays.contains_key(&id) {
                 wait.push(id);
                 continue;
             }
--- a/crates/core/src/receipts.rs
+++ b/crates/core/src/receipts.rs
@@ -15,9 +15,6 @@
 /// report may have as many tasks as fit into its own 64 KiB, and a call is longer than a task.)
 const MOST_CALLS: usize = 500;
 
-/// How long a worker may take to show the token that an answer told it.
-const TOLD_SHOWS: Span = Span::millis(1_500);
-
 /// Ever longer, up to sixteen times the first, while messages to a machine go on being lost.
 fn pause(first: Span, losses: u32) -> Span {
     Span(first.0 << losses.saturating_sub(1).min(4))
@@ -63,13 +60,6 @@
             // One that missed a report is asked: if it answers it is not silent, and if it doesn't
             // it can be given up sooner.
             let missed = m.state == MachineState::Up && now.since(m.last_report) > overdue;
-            // One that was told the token by the answer to its report shows it with the next, which comes
-            // within half a second. While few questions are under way it is asked all the same, which
-            // is quicker; many are what a small controller can't take. (At a take-over, 800 machines
-            // were asked that all reported within two seconds anyway: more than a second's worth of
-            // a fiftieth of a core, in which the lead was lost again.)
-            let told = m.told.0 == m.token(term) && now.since(m.told.1) < TOLD_SHOWS;
-            let unseen = unseen && !(told && self.under_way * 4 >= most_questions);
             let may_start = can_send && self.in_office;
             let (ids, starts) = self.last_look(now, ix as MachineIx, may_start);
             let m = &mut self.machines[ix];
@@ -200,11 +190,8 @@
         // Also one that the answer to a direct command has overtaken: its answer renews the lease, so
         // it has to stop what is to be stopped. In a copy of the past it says nothing new.
         let calls = self.calls_for(m, report);
-        let term = self.term;
-        let machine = &mut self.machines[m as usize];
-        let token = machine.token(term);
-        machine.told = (token, now);
-        Some((token, calls))
+        let machine = &self.machines[m as usize];
+        Some((machine.token(self.term), calls))
     }
 
     /// What the worker should still do about the tasks it reports: stop those that have no
@@ -312,15 +299,25 @@
         self.attend(m);
         let mut seen: HashMap<(&str, u32), &wire::TaskReport> = HashMap::new();
         let mut foreign = 0;
+        // Tasks that are on the machine under whatever attempt.
+        let mut live: std::collections::HashSet<(&str, u32)> = Default::default();
+        self.strays.retain(|_, on| *on != m);
         for entry in &report.tasks {
             if let Some(key) = wire::split_task(&entry.task) {
                 let better = seen.get(&key).is_none_or(|old| old.attempt < entry.attempt);
                 if better {
                     seen.insert(key, entry);
                 }
+                if entry.state != TaskStage::Exited {
+                    live.insert(key);
+                }
             }
             if entry.state != TaskStage::Exited && self.locate(m, entry) == Place::Strange {
                 foreign += 1;
+                let key = wire::split_task(&entry.task);
+                if let Some((&ix, index)) = key.and_then(|k| Some((self.by_ref.get(k.0)?, k.1))) {
+                    self.strays.insert((ix, index), m);
+                }
             }
         }
         if foreign > 0 {
@@ -336,6 +333,10 @@
                 .get(&(job.name.as_str(), id.1))
                 .filter(|e| e.attempt == u64::from(task.attempt));
             match entry {
+                // An attempt that was refused since another is there says that the task is there. (Taken
+                // for absent, it was started a second time elsewhere.)
+                _ if entry.is_none_or(|e| e.state == TaskStage::Exited)
+                    && live.contains(&(job.name.as_str(), id.1)) => {}
                 Some(e) if e.state == TaskStage::Exited => {
                     changed = true;
                     self.exited(now, id, m, e.cause.unwrap_or(Cause::Other));
@@ -612,6 +613,7 @@
         }
         machine.state = MachineState::Gone;
         machine.outbox.clear();
+        self.strays.retain(|_, on| *on != m);
         self.gone.push_back((now, m));
         // Starts that waited for the next message to it are never sent.
         self.last_look(now, m, false);
--- a/crates/core/tests/starts.rs
+++ b/crates/core/tests/starts.rs
@@ -534,3 +534,57 @@
     w.settle();
     assert_eq!(w.places().len(), 3);
 }
+
+/// Seen on a saturated controller: an attempt was refused with `in_use`, was taken for absent, and the
+/// task was started on another machine while an earlier attempt ran on.
+#[test]
+fn a_refusal_because_the_task_is_there_is_no_absence() {
+    use walnutlug_core::wire::{Cause, TaskStage};
+    let mut w = World::new(&[("n-1", "a"), ("n-2", "a")]);
+    w.submit(JOB, &spec(1));
+    w.settle();
+    w.all_report();
+    let place = w.places_of(&format!("{JOB}/0"))[0].to_owned();
+    // Against the book, an earlier attempt is there, and the book's own was refused for it.
+    let task = format!("{JOB}/0");
+    let worker = w.workers.get_mut(&place).expect("worker");
+    worker.tasks.insert((task.clone(), 1), (TaskStage::Exited, Some(Cause::InUse)));
+    worker.tasks.insert((task.clone(), 0), (TaskStage::Running, None));
+    let report = worker.report();
+    w.leader.report(w.now, &report);
+    assert_eq!(w.attempt(JOB, 0), 1, "it is there");
+    // Once that attempt was stopped, it goes on elsewhere or there, once.
+    for _ in 0..6 {
+        w.all_report();
+        w.settle();
+        assert!(w.places_of(&task).len() <= 1);
+    }
+    assert_eq!((w.places_of(&task).len(), w.attempt(JOB, 0)), (1, 2));
+}
+
+/// A machine shows a task live that the book takes for pending: whatever led to that, the start waits.
+#[test]
+fn a_start_waits_while_another_machine_shows_the_task_live() {
+    use walnutlug_core::wire::TaskStage;
+    let mut w = World::new(&[("n-1", "a"), ("n-2", "a")]);
+    w.submit(JOB, &spec(1));
+    w.tick();
+    let (id, txn) = w.take_commit();
+    let outcome = w.store.apply(&txn);
+    w.leader.txn_answer(w.now, id, outcome);
+    let task = format!("{JOB}/0");
+    let ix = w.leader.by_ref[JOB];
+    let planned = w.leader.job(ix).expect("job").tasks[0].machine;
+    let planned = w.leader.machines[planned as usize].name.clone();
+    let other = if planned == "n-1" { "n-2" } else { "n-1" };
+    let worker = w.workers.get_mut(other).expect("worker");
+    worker.tasks.insert((task.clone(), 7), (TaskStage::Running, None));
+    let report = worker.report();
+    let (token, calls) = w.leader.report(w.now, &report).expect("an answer");
+    w.settle();
+    assert_eq!(w.places_of(&task), [other], "not started beside it");
+    w.workers.get_mut(other).expect("worker").answered(1, token, &calls);
+    w.all_report();
+    w.settle();
+    assert_eq!(w.places_of(&task), [planned.as_str()], "started once it was stopped");
+}
--- a/crates/walnutlug/src/node.rs
+++ b/crates/walnutlug/src/node.rs
@@ -471,19 +471,14 @@
     let node = Rc::new(Node::new(settings, tunables, client, peer_queues)?);
     node.state.lead(false);
     tokio::task::spawn_local(peers::listen(node.clone(), internal));
+    tokio::task::spawn_local(lead::election(node.clone()));
     tokio::task::spawn_local(keep_types(node.clone()));
     tokio::task::spawn_local(tell_status(node.clone()));
     tokio::task::spawn_local(tell_times(node.clone()));
     let handler_node = node.clone();
     let open = node.open.clone();
     let handler = move |request| handle(handler_node.clone(), request);
-    // Not tasks of their own: those wait for their turn behind every connection that has something to
-    // read, and with hundreds of those, at a fiftieth of a core, a renewal of the lease took three turns
-    // of some seconds each. What runs here is looked at again after every few tasks.
-    tokio::join!(
-        server::serve(listener, sockets.inbound, open, handler),
-        lead::election(node.clone())
-    );
+    server::serve(listener, sockets.inbound, open, handler).await;
     Ok(())
 }
 
--- a/crates/walnutlug/src/node/lead.rs
+++ b/crates/walnutlug/src/node/lead.rs
@@ -129,6 +129,11 @@
 
 /// Everything that a leader does, until it is one no more.
 async fn lead(node: &Rc<Node>, term: u64, lease: u64, touched: Instant) {
+    let mut children = Vec::new();
+    let lease_node = node.clone();
+    children.push(tokio::task::spawn_local(async move {
+        keep_lease(&lease_node, lease, touched).await;
+    }));
     let over = node.step_down.notified();
     let work = async {
         if let Err(e) = load(node, term).await {
@@ -140,9 +145,11 @@
     tokio::select! {
         _ = over => {}
         _ = work => {}
-        _ = keep_lease(node, lease, touched) => {}
     }
     node.give_up_lead("the term is over");
+    for child in children {
+        child.abort();
+    }
 }
 
 async fn keep_lease(node: &Rc<Node>, lease: u64, mut touched: Instant) {
@@ -150,7 +157,7 @@
     loop {
         tokio::time::sleep_until(touched + ttl.mul_f64(0.28)).await;
         let sent = Instant::now();
-        match node.state.touch(lease, ttl.mul_f64(0.6)).await {
+        match node.state.touch(lease).await {
             Ok(()) => {
                 touched = sent;
                 node.lease_until.set(sent + ttl);
--- a/crates/walnutlug/src/state.rs
+++ b/crates/walnutlug/src/state.rs
@@ -153,8 +153,6 @@
 const DOWN_AFTER: Duration = Duration::from_millis(1_500);
 const PROBE_AFTER: Duration = Duration::from_millis(900);
 const ANSWER: Duration = Duration::from_millis(900);
-/// A renewal whose answer takes longer is sent once more.
-const TOUCH_AGAIN_AFTER: Duration = Duration::from_millis(700);
 
 impl State {
     pub fn new(
@@ -445,26 +443,11 @@
         }
     }
 
-    /// Renews a lease, over a second connection as well if the answer takes long. (Given up after 600 ms
-    /// and begun anew, at a fiftieth of a core, where an answer takes a second to be read, renewals that
-    /// were all carried out were all taken for lost, and the lead with them.)
-    pub async fn touch(&self, lease: u64, within: Duration) -> Result<(), StateError> {
+    pub async fn touch(&self, lease: u64) -> Result<(), StateError> {
         let path = format!("/leases/{lease}/touch");
-        let first = self.ask(Class::Leadership, 0, "POST", &path, b"", within);
-        tokio::pin!(first);
-        let answer = match tokio::time::timeout(TOUCH_AGAIN_AFTER, &mut first).await {
-            Ok(answer) => answer,
-            Err(_) => {
-                let left = within.saturating_sub(TOUCH_AGAIN_AFTER);
-                let second = self.ask(Class::Leadership, 0, "POST", &path, b"", left);
-                tokio::pin!(second);
-                tokio::select! {
-                    answer = &mut first => if answer.is_ok() { answer } else { second.await },
-                    answer = &mut second => if answer.is_ok() { answer } else { first.await },
-                }
-            }
-        };
-        match answer?.status {
+        let within = Duration::from_millis(600);
+        let r = self.ask(Class::Leadership, 0, "POST", &path, b"", within).await?;
+        match r.status {
             200 => Ok(()),
             404 => Err(StateError::Gone),
             _ => Err(StateError::Bad),
