--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -160,6 +160,8 @@
     pub completed_at: Time,
     pub draining: Option<&'static str>,
     pub return_sent: Option<Time>,
+    /// Its last report, if a repetition of that would mean nothing; see [`crate::unchanged`].
+    pub(crate) settled: Option<crate::unchanged::Settled>,
 }
 
 impl Machine {
@@ -169,6 +171,7 @@
 
     /// Nothing more is started there until it shows that it heard of this.
     pub(crate) fn doubt(&mut self, now: Time, term: u64) {
+        self.settled = None;
         self.fence += 1;
         self.must_see = token(term, self.fence);
         self.deaf_since.get_or_insert(now);
@@ -311,6 +314,8 @@
     /// Machines to be looked at for something to send, each once.
     pub(crate) attention: Vec<MachineIx>,
     pub(crate) last_sweep: Time,
+    /// Numbers the reports that left nothing to do.
+    pub(crate) next_settled: u64,
     /// Messages to workers whose outcome is open.
     pub(crate) under_way: usize,
     /// Machines looked at for placing, for tests of what a round costs.
@@ -398,6 +403,7 @@
             last_preempt: Time(0),
             attention: Vec::new(),
             last_sweep: Time(0),
+            next_settled: 0,
             under_way: 0,
             looked_at: 0,
             started_at: now,
@@ -677,6 +683,7 @@
             completed_at: Time(0),
             draining: None,
             return_sent: None,
+            settled: None,
         };
         let ix = match self.free_place(now) {
             Some(ix) => {
@@ -804,6 +811,7 @@
             return false;
         }
         let after = task.phase;
+        let machine = task.machine;
         match input {
             Input::Finish | Input::Absent | Input::Settle => {
                 let chunk = job.chunk_of(id.1);
@@ -821,6 +829,9 @@
             job.done += 1;
             job.errors = 0;
         }
+        if before.placed() || after.placed() {
+            self.unsettle(machine);
+        }
         if before.placed() && !after.placed() {
             self.detach(now, id);
         } else if let Input::Dispatch { machine, .. } = input {
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -4,6 +4,7 @@
 
 use crate::book::{Command, Job, JobIx, MachineState, Scheduler};
 use crate::job::{JobSpec, SLACK};
+use crate::placement::Urgency;
 use crate::time::{Span, Time};
 use crate::wire::{ListedMachine, MachineStage};
 
@@ -19,6 +20,8 @@
     /// The cloud answers nothing at present.
     pub down_until: Time,
     last_look: Time,
+    /// When slow machines were looked for last.
+    pub(crate) slow_looked_for: Time,
     pub returning: u32,
     usage: Usage,
     /// Whether a whole machine list was read under this term.
@@ -118,6 +121,8 @@
 /// Machines in one request, by the protocol.
 const MOST_ASKED: u32 = 50;
 const LOOK_EVERY: Span = Span::millis(500);
+/// How often the cost of every machine and task is added up: only the log tells it.
+const ACCOUNT_EVERY: Span = Span::secs(5);
 /// Refusals in a row that lengthen the pause before an offer is tried again: 16 s at most, since the
 /// cloud takes machines back all the time and then has them to give.
 const MOST_REFUSALS: u32 = 2;
@@ -130,7 +135,9 @@
             return;
         }
         self.fleet.last_look = now;
-        self.account(now);
+        if now.since(self.fleet.usage.last.unwrap_or_default()) >= ACCOUNT_EVERY {
+            self.account(now);
+        }
         if !self.in_office {
             return;
         }
@@ -146,8 +153,13 @@
         }
         // A new leader first hears what machines there are.
         if self.fleet.listed || now.since(self.started_at) > Span::secs(10) {
-            self.rent(now);
-            self.return_idle(now);
+            let queue = self.queue(now);
+            let none_may_run = !queue.iter().any(|&(_, ix)| self.room_in_team(ix) > 0);
+            self.rent(now, queue);
+            // While a job waits that may run, the next thing to get free may be of use to it.
+            if none_may_run {
+                self.return_idle(now);
+            }
         }
         self.return_machines(now);
     }
@@ -207,11 +219,10 @@
     }
 
     /// Rents for work that finds no place, and for the headroom.
-    fn rent(&mut self, now: Time) {
+    fn rent(&mut self, now: Time, queue: Vec<(Urgency, JobIx)>) {
         if now < self.fleet.down_until || self.types.is_empty() {
             return;
         }
-        let queue = self.queue(now);
         // A machine without room for the smallest task that waits is of no use to any.
         let (mut least_cpus, mut least_memory) = (f64::INFINITY, f64::INFINITY);
         for job in queue.iter().filter_map(|&(_, ix)| self.job(ix)) {
@@ -462,10 +473,6 @@
 
     /// Drains machines that have had nothing to do for a while, ordinary ones sooner.
     fn return_idle(&mut self, now: Time) {
-        // While a job waits that may run, the next thing to get free may be of use to it.
-        if self.queue(now).iter().any(|&(_, ix)| self.room_in_team(ix) > 0) {
-            return;
-        }
         let mut free: f64 = self
             .machines
             .iter()
@@ -517,6 +524,7 @@
             if (due || again) && names.len() < 100 {
                 causes.push(format!("{} ({})", m.name, m.draining.unwrap_or("asked again")));
                 m.state = MachineState::Returning;
+                m.settled = None;
                 m.return_sent = Some(now);
                 names.push(m.name.clone());
             }
--- a/crates/core/src/health.rs
+++ b/crates/core/src/health.rs
@@ -7,6 +7,9 @@
 /// From this many machines on, what they do together says something.
 const MANY: usize = 8;
 
+/// How often every task's run time is compared with its siblings'.
+const SLOW_EVERY: Span = Span::secs(2);
+
 /// The part of a notice's time that is counted on.
 const NOTICE_TRUST: f64 = 0.75;
 
@@ -112,7 +115,10 @@
                 }
             }
         }
-        self.mark_slow(now);
+        if now.since(self.fleet.slow_looked_for) >= SLOW_EVERY {
+            self.fleet.slow_looked_for = now;
+            self.mark_slow(now);
+        }
     }
 
     /// Stops what won't be done on a machine before the cloud takes it, where it can run elsewhere:
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod task;
 pub mod time;
 pub mod tunables;
+pub mod unchanged;
 pub mod watermark;
 pub mod wire;
--- a/crates/core/src/receipts.rs
+++ b/crates/core/src/receipts.rs
@@ -1,7 +1,5 @@
 //! Receipts: what workers tell, what it proves, and what they are told in return.
 
-use std::collections::HashMap;
-
 use crate::book::{grace_of, Command, DirectOutcome, MachineState, Scheduler, TaskId, OVERDUE};
 use crate::leadership::token;
 use crate::task::{Input, MachineIx, Phase};
@@ -9,7 +7,7 @@
 use crate::wire::{self, Call, Cause, Report, TaskStage};
 
 /// A start counts for the job's users if it is not stopped again within half a minute.
-const BEGUN_AFTER: Span = Span::secs(32);
+pub(crate) const BEGUN_AFTER: Span = Span::secs(32);
 
 /// Calls in one answer, which is one line of at most 64 KiB; the next report is told the rest. (A
 /// report may have as many tasks as fit into its own 64 KiB, and a call is longer than a task.)
@@ -20,10 +18,37 @@
     Span(first.0 << losses.saturating_sub(1).min(4))
 }
 
-#[derive(Debug, PartialEq, Eq, Clone, Copy)]
-enum Place {
-    Ours(TaskId),
-    Strange,
+/// One task of a report, and the known task that it names, if there is one.
+struct ReportedTask<'a> {
+    entry: &'a wire::TaskReport,
+    id: Option<TaskId>,
+}
+
+/// The entries of a report that name known tasks, in the order of those.
+struct EntriesByTask<'a>(Vec<(TaskId, &'a wire::TaskReport)>);
+
+impl<'a> EntriesByTask<'a> {
+    fn new(entries: &[ReportedTask<'a>]) -> EntriesByTask<'a> {
+        let known = entries.iter().filter_map(|reported| Some((reported.id?, reported.entry)));
+        let mut by_task: Vec<(TaskId, &'a wire::TaskReport)> = known.collect();
+        by_task.sort_by_key(|(id, _)| *id);
+        EntriesByTask(by_task)
+    }
+
+    fn of(&self, id: TaskId) -> impl Iterator<Item = &'a wire::TaskReport> + '_ {
+        let begin = self.0.partition_point(|(other, _)| *other < id);
+        self.0[begin..].iter().take_while(move |(other, _)| *other == id).map(|(_, entry)| *entry)
+    }
+
+    /// The entry of the highest attempt.
+    fn newest(&self, id: TaskId) -> Option<&'a wire::TaskReport> {
+        self.of(id).reduce(|best, entry| if entry.attempt > best.attempt { entry } else { best })
+    }
+
+    /// Whether the task is on the machine under whatever attempt.
+    fn any_live(&self, id: TaskId) -> bool {
+        self.of(id).any(|entry| entry.state != TaskStage::Exited)
+    }
 }
 
 impl Scheduler {
@@ -102,7 +127,8 @@
             DirectOutcome::Answered(report) => {
                 if report.machine == machine.name {
                     machine.losses = 0;
-                    self.evidence(now, &report, true);
+                    let entries = self.resolve(&report);
+                    self.evidence(now, &report, &entries, true);
                 } else {
                     machine.retry_at = now + Span::secs(1);
                 }
@@ -171,7 +197,8 @@
         }
         let known = self.by_name.get(&report.machine).map(|&m| &self.machines[m as usize]);
         let newest = known.map_or((0, 0), |k| (k.session, k.seq));
-        let m = self.evidence(now, report, false);
+        let entries = self.resolve(report);
+        let m = self.evidence(now, report, &entries, false);
         // What it proves counts at any time; an answer renews its lease.
         if !self.may_renew(now) {
             return None;
@@ -189,50 +216,40 @@
         }
         // Also one that the answer to a direct command has overtaken: its answer renews the lease, so
         // it has to stop what is to be stopped. In a copy of the past it says nothing new.
-        let calls = self.calls_for(m, report);
+        let calls = self.calls_for(m, &entries);
         let machine = &self.machines[m as usize];
         Some((machine.token(self.term), calls))
     }
 
     /// What the worker should still do about the tasks it reports: stop those that have no
     /// business there and forget those whose end is recorded. Both can be repeated.
-    fn calls_for(&mut self, m: MachineIx, report: &Report) -> Vec<Call> {
+    fn calls_for(&mut self, m: MachineIx, entries: &[ReportedTask]) -> Vec<Call> {
         let mut calls = Vec::new();
         let mut reaps = Vec::new();
-        for entry in &report.tasks {
-            let place = self.locate(m, entry);
+        for reported in entries {
+            let entry = reported.entry;
+            let job = reported.id.filter(|&id| self.is_placed(m, id, entry.attempt));
+            let job = job.and_then(|id| Some((self.job(id.0)?, id.1 as usize)));
             if entry.state == TaskStage::Exited {
-                let keep = match place {
-                    Place::Ours(id) => self.job(id.0).is_some_and(|j| {
-                        !j.over
-                            && (j.tasks[id.1 as usize].phase != Phase::Done
-                                || !j.recorded[id.1 as usize])
-                    }),
-                    Place::Strange => false,
-                };
+                let keep = job.is_some_and(|(job, index)| {
+                    !job.over && (job.tasks[index].phase != Phase::Done || !job.recorded[index])
+                });
                 if !keep {
                     reaps.push(Call::Reap { task: entry.task.clone(), attempt: entry.attempt });
                 }
-            } else {
-                let grace = match place {
-                    Place::Strange => Some(0.0),
-                    Place::Ours(id) => self.job(id.0).and_then(|j| {
-                        if j.over {
-                            Some(0.0)
-                        } else if j.tasks[id.1 as usize].phase == Phase::Stopping {
-                            Some(grace_of(&j.spec))
-                        } else {
-                            None
-                        }
-                    }),
-                };
-                if let Some(grace_s) = grace {
-                    calls.push(Call::Kill {
-                        task: entry.task.clone(),
-                        attempt: entry.attempt,
-                        grace_s,
-                    });
+                continue;
+            }
+            let grace = match job {
+                None => Some(0.0),
+                Some((job, _)) if job.over => Some(0.0),
+                Some((job, index)) if job.tasks[index].phase == Phase::Stopping => {
+                    Some(grace_of(&job.spec))
                 }
+                Some(_) => None,
+            };
+            if let Some(grace_s) = grace {
+                let (task, attempt) = (entry.task.clone(), entry.attempt);
+                calls.push(Call::Kill { task, attempt, grace_s });
             }
         }
         if !reaps.is_empty() {
@@ -251,26 +268,37 @@
         calls
     }
 
-    fn locate(&self, m: MachineIx, entry: &wire::TaskReport) -> Place {
-        let Some((name, index)) = wire::split_task(&entry.task) else { return Place::Strange };
-        let Some(&ix) = self.by_ref.get(name) else { return Place::Strange };
-        let Some(job) = self.job(ix) else { return Place::Strange };
-        match job.tasks.get(index as usize) {
-            Some(t)
-                if u64::from(t.attempt) == entry.attempt
-                    && t.machine == m
-                    && t.phase != Phase::Pending =>
-            {
-                Place::Ours((ix, index))
-            }
-            _ => Place::Strange,
-        }
+    /// Looks up the tasks of a report, each once.
+    fn resolve<'a>(&self, report: &'a Report) -> Vec<ReportedTask<'a>> {
+        let resolve = |entry: &'a wire::TaskReport| {
+            let id = wire::split_task(&entry.task).and_then(|(name, index)| {
+                let &job_index = self.by_ref.get(name)?;
+                let exists = (index as usize) < self.job(job_index)?.tasks.len();
+                exists.then_some((job_index, index))
+            });
+            ReportedTask { entry, id }
+        };
+        report.tasks.iter().map(resolve).collect()
+    }
+
+    /// Whether that attempt of the task is on the machine as far as is known here.
+    fn is_placed(&self, m: MachineIx, id: TaskId, attempt: u64) -> bool {
+        self.job(id.0).is_some_and(|job| {
+            let task = &job.tasks[id.1 as usize];
+            u64::from(task.attempt) == attempt && task.machine == m && task.phase != Phase::Pending
+        })
     }
 
     /// Merges a report into the book. Older reports add evidence and take none away. An answer to a
     /// direct command comes from the machine as it is now; a report that came by itself may be a
     /// copy from long ago.
-    pub(crate) fn evidence(&mut self, now: Time, report: &Report, direct: bool) -> MachineIx {
+    fn evidence(
+        &mut self,
+        now: Time,
+        report: &Report,
+        entries: &[ReportedTask],
+        direct: bool,
+    ) -> MachineIx {
         let m = self.machine_named(now, &report.machine);
         let newer = {
             let known = &self.machines[m as usize];
@@ -280,46 +308,36 @@
             return m;
         }
         // A finish is a finish, however late the report that tells it.
-        for entry in &report.tasks {
+        for ReportedTask { entry, id } in entries {
             if entry.state == TaskStage::Exited && entry.cause == Some(Cause::Done) {
-                if let Some((name, index)) = wire::split_task(&entry.task) {
-                    if let Some(&ix) = self.by_ref.get(name) {
-                        self.finish(now, (ix, index), m, entry.attempt);
-                    }
+                if let Some(id) = id {
+                    self.finish(now, *id, m, entry.attempt);
                 }
             }
         }
         if !newer {
             return m;
         }
+        self.unsettle(m);
         if crate::leadership::term_of(report.token) > self.term {
             return m; // Another leader's to judge.
         }
         self.adopt(now, m, report, direct);
         self.attend(m);
-        let mut seen: HashMap<(&str, u32), &wire::TaskReport> = HashMap::new();
         let mut foreign = 0;
-        // Tasks that are on the machine under whatever attempt.
-        let mut live: std::collections::HashSet<(&str, u32)> = Default::default();
         self.strays.retain(|_, on| *on != m);
-        for entry in &report.tasks {
-            if let Some(key) = wire::split_task(&entry.task) {
-                let better = seen.get(&key).is_none_or(|old| old.attempt < entry.attempt);
-                if better {
-                    seen.insert(key, entry);
-                }
-                if entry.state != TaskStage::Exited {
-                    live.insert(key);
-                }
+        for ReportedTask { entry, id } in entries {
+            if entry.state == TaskStage::Exited {
+                continue;
             }
-            if entry.state != TaskStage::Exited && self.locate(m, entry) == Place::Strange {
+            if !id.is_some_and(|id| self.is_placed(m, id, entry.attempt)) {
                 foreign += 1;
-                let key = wire::split_task(&entry.task);
-                if let Some((&ix, index)) = key.and_then(|k| Some((self.by_ref.get(k.0)?, k.1))) {
-                    self.strays.insert((ix, index), m);
+                if let Some(id) = id {
+                    self.strays.insert(*id, m);
                 }
             }
         }
+        let by_task = EntriesByTask::new(entries);
         if foreign > 0 {
             self.note_once(&report.machine, "runs tasks that have no business there");
         }
@@ -329,14 +347,12 @@
         for id in mine {
             let Some(job) = self.job(id.0) else { continue };
             let task = job.tasks[id.1 as usize];
-            let entry = seen
-                .get(&(job.name.as_str(), id.1))
-                .filter(|e| e.attempt == u64::from(task.attempt));
+            let entry = by_task.newest(id).filter(|e| e.attempt == u64::from(task.attempt));
             match entry {
                 // An attempt that was refused since another is there says that the task is there. (Taken
                 // for absent, it was started a second time elsewhere.)
-                _ if entry.is_none_or(|e| e.state == TaskStage::Exited)
-                    && live.contains(&(job.name.as_str(), id.1)) => {}
+                _ if entry.is_none_or(|e| e.state == TaskStage::Exited) && by_task.any_live(id) => {
+                }
                 Some(e) if e.state == TaskStage::Exited => {
                     changed = true;
                     self.exited(now, id, m, e.cause.unwrap_or(Cause::Other));
@@ -375,7 +391,7 @@
                 t.token != 0
                     && t.token == machine.token(self.term)
                     && !machine.busy
-                    && !seen.contains_key(&(j.name.as_str(), id.1))
+                    && by_task.newest(*id).is_none()
             })
         });
         if doubt {
@@ -612,6 +628,7 @@
             return;
         }
         machine.state = MachineState::Gone;
+        machine.settled = None;
         machine.outbox.clear();
         self.strays.retain(|_, on| *on != m);
         self.gone.push_back((now, m));
--- /dev/null
+++ b/crates/core/src/unchanged.rs
@@ -0,0 +1,128 @@
+//! Reports that say nothing new.
+//!
+//! Most reports repeat the one before them: the same tasks, in the same states, under the same token.
+//! [`Scheduler::settle_report`] finds out whether a report has left nothing to do, so that the same
+//! report under a later sequence number could not either. The node keeps the answer beside the text of
+//! the report, and hands a repetition to [`Scheduler::report_unchanged`], which looks at one machine and
+//! nothing else.
+//!
+//! This is exact and no estimate: whatever could give such a report a meaning (a task of the machine
+//! changes, its fence is raised, another report of it comes, the machine types change) withdraws the
+//! mark first, and the report is then read in full.
+
+use std::collections::BTreeSet;
+
+use crate::book::{MachineState, Scheduler, TaskId};
+use crate::leadership::token;
+use crate::receipts::BEGUN_AFTER;
+use crate::task::{MachineIx, Phase};
+use crate::time::Time;
+use crate::wire::{self, Report, TaskReport, TaskStage};
+
+/// Names one report that left nothing to do. Of use to the scheduler that gave it, and to no other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SettledReport {
+    term: u64,
+    machine: MachineIx,
+    number: u64,
+}
+
+/// What a machine keeps of its last settled report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Settled {
+    number: u64,
+    /// From then on time alone gives the report a meaning: a task has run for long enough to count
+    /// as begun.
+    until: Time,
+}
+
+impl Scheduler {
+    /// To be asked right after the report was answered without commands. `None`: a repetition of it
+    /// would have to be read in full.
+    pub fn settle_report(&mut self, now: Time, report: &Report) -> Option<SettledReport> {
+        let &machine = self.by_name.get(&report.machine)?;
+        let known = &self.machines[machine as usize];
+        let is_newest = (report.session, report.seq) == (known.session, known.seq);
+        // The answer raises no token, and the machine owes none.
+        let token_agrees = report.token == known.seen_token
+            && report.token == known.token(self.term)
+            && report.token >= token(self.term, 0).max(known.must_see);
+        let machine_is_well = known.state == MachineState::Up
+            && known.kind.is_some()
+            && known.notice.is_none()
+            && report.notice_s.is_none()
+            && known.deaf_since.is_none()
+            && known.foreign == 0
+            && known.retry_at <= now;
+        if !is_newest || !token_agrees || !machine_is_well {
+            return None;
+        }
+        if known.tasks.len() != report.tasks.len() {
+            return None;
+        }
+        let mut until = Time(u64::MAX);
+        let mut reported: BTreeSet<TaskId> = BTreeSet::new();
+        for entry in &report.tasks {
+            let (task, meaningless_until) = self.settled_task(machine, entry)?;
+            until = until.min(meaningless_until);
+            reported.insert(task);
+        }
+        if reported != known.tasks || until <= now {
+            return None;
+        }
+        self.next_settled += 1;
+        let number = self.next_settled;
+        self.machines[machine as usize].settled = Some(Settled { number, until });
+        Some(SettledReport { term: self.term, machine, number })
+    }
+
+    /// The task, if it is reported as it is known here, and until when that means nothing.
+    fn settled_task(&self, machine: MachineIx, entry: &TaskReport) -> Option<(TaskId, Time)> {
+        let (name, index) = wire::split_task(&entry.task)?;
+        let &job_index = self.by_ref.get(name)?;
+        let job = self.job(job_index)?;
+        let task = job.tasks.get(index as usize)?;
+        let as_known = task.phase == Phase::Running
+            && task.machine == machine
+            && u64::from(task.attempt) == entry.attempt
+            && !job.over;
+        if !as_known {
+            return None;
+        }
+        let until = match entry.state {
+            TaskStage::Fetching => Time(u64::MAX),
+            TaskStage::Running if job.begun => Time(u64::MAX),
+            TaskStage::Running => *job.started.get(&index)? + BEGUN_AFTER,
+            TaskStage::Flushing | TaskStage::Exited | TaskStage::Other => return None,
+        };
+        Some(((job_index, index), until))
+    }
+
+    /// The settled report came again, the same but for its sequence number. The token to answer with,
+    /// and no commands; `None`: the report has to be read in full.
+    pub fn report_unchanged(
+        &mut self,
+        now: Time,
+        settled: SettledReport,
+        sequence: u64,
+    ) -> Option<u64> {
+        if settled.term != self.term || !self.may_renew(now) {
+            return None;
+        }
+        let machine = self.machines.get_mut(settled.machine as usize)?;
+        let holds = machine.settled.is_some_and(|s| s.number == settled.number && now < s.until);
+        if !holds || sequence <= machine.seq {
+            return None;
+        }
+        machine.seq = sequence;
+        machine.last_report = now;
+        Some(machine.token(self.term))
+    }
+
+    /// A repetition of the machine's last report may mean something from now on.
+    pub(crate) fn unsettle(&mut self, machine: MachineIx) {
+        if let Some(machine) = self.machines.get_mut(machine as usize) {
+            machine.settled = None;
+        }
+    }
+}
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -244,6 +244,26 @@
     pub tasks: Vec<TaskReport>,
 }
 
+/// The name of a report's sequence number, as it stands in the text.
+const SEQUENCE_KEY: &[u8] = b"\"ring\":";
+
+/// Where the digits of a report's sequence number stand in its text. `None`: nowhere, or in more than
+/// one place, or not as plain digits. (Inside of a string the key can't stand like that: its quotation
+/// marks would be escaped.)
+pub fn sequence_digits(report: &[u8]) -> Option<std::ops::Range<usize>> {
+    let mut places = report
+        .windows(SEQUENCE_KEY.len())
+        .enumerate()
+        .filter(|(_, window)| *window == SEQUENCE_KEY);
+    let start = places.next()?.0 + SEQUENCE_KEY.len();
+    if places.next().is_some() {
+        return None;
+    }
+    let digits = report[start..].iter().take_while(|byte| byte.is_ascii_digit()).count();
+    let ends_there = matches!(report.get(start + digits), Some(b',' | b'}'));
+    (digits > 0 && ends_there).then_some(start..start + digits)
+}
+
 /// Splits `req-000412/3` into the job and the task's number.
 pub fn split_task(name: &str) -> Option<(&str, u32)> {
     let (job, index) = name.rsplit_once('/')?;
--- a/crates/walnutlug/src/http/server.rs
+++ b/crates/walnutlug/src/http/server.rs
@@ -85,10 +85,12 @@
 /// Accepts for ever. Beyond `most` connections new ones are closed at once, so that the node
 /// always has sockets left for its own requests.
 ///
-/// `open` counts them for whoever has to make room.
-pub async fn serve<H, F>(listener: TcpListener, most: u32, open: Rc<Cell<u32>>, handler: H)
+/// `open` counts them for whoever has to make room. Each connection gets a handler of its own, which
+/// may remember what came before on it.
+pub async fn serve<N, H, F>(listener: TcpListener, most: u32, open: Rc<Cell<u32>>, new_handler: N)
 where
-    H: Fn(Request) -> F + Clone + 'static,
+    N: Fn() -> H,
+    H: Fn(Request) -> F + 'static,
     F: Future<Output = Answer> + 'static,
 {
     loop {
@@ -107,7 +109,7 @@
         let _ = stream.set_nodelay(true);
         open.set(open.get() + 1);
         let open = open.clone();
-        let handler = handler.clone();
+        let handler = new_handler();
         tokio::task::spawn_local(async move {
             connection(stream, handler).await;
             open.set(open.get() - 1);
--- a/crates/walnutlug/src/node.rs
+++ b/crates/walnutlug/src/node.rs
@@ -27,6 +27,7 @@
 use crate::peers::{self, Frame};
 use crate::settings::{Settings, Sockets};
 use crate::state::{Class, State};
+use crate::workers::LastReport;
 use crate::{users, workers};
 
 /// How long what another node said of itself is worth something.
@@ -475,14 +476,16 @@
     tokio::task::spawn_local(keep_types(node.clone()));
     tokio::task::spawn_local(tell_status(node.clone()));
     tokio::task::spawn_local(tell_times(node.clone()));
-    let handler_node = node.clone();
     let open = node.open.clone();
-    let handler = move |request| handle(handler_node.clone(), request);
-    server::serve(listener, sockets.inbound, open, handler).await;
+    let new_handler = move || {
+        let (node, last_report) = (node.clone(), Rc::new(LastReport::default()));
+        move |request| handle(node.clone(), last_report.clone(), request)
+    };
+    server::serve(listener, sockets.inbound, open, new_handler).await;
     Ok(())
 }
 
-async fn handle(node: Rc<Node>, request: Request) -> Answer {
+async fn handle(node: Rc<Node>, last_report: Rc<LastReport>, request: Request) -> Answer {
     let path = request.path.split('?').next().unwrap_or_default().to_owned();
     let method = request.method.as_str();
     match path.as_str() {
@@ -493,7 +496,7 @@
         },
         "/hello" => match method {
             "POST" => {
-                let mut answer = workers::hello(&node, &request.body);
+                let mut answer = workers::answer_report(&node, &last_report, &request.body);
                 // Workers find their way back with the next report; a user may not find a socket.
                 if node.open.get() > Sockets::share(node.settings.fd_limit).workers_kept {
                     answer.close = true;
--- a/crates/walnutlug/src/node/lead.rs
+++ b/crates/walnutlug/src/node/lead.rs
@@ -451,10 +451,23 @@
     }
 }
 
+/// Shortest and longest pause between two turns of the leader's loop.
+const LEAST_PAUSE: Duration = Duration::from_millis(10);
+const MOST_PAUSE: Duration = Duration::from_millis(500);
+
+/// What the leader leaves to everything else after a turn that took so long: as much of the node's part
+/// of a core as the turn used. Under load the next turn then decides more at once. (Without a pause,
+/// rounds of 2 ms each took all of a fiftieth of a core for ten seconds, and reports and submissions
+/// waited behind them.)
+fn pause_after(turn: Duration, cpu_share: f64) -> Duration {
+    turn.div_f64(cpu_share).clamp(LEAST_PAUSE, MOST_PAUSE)
+}
+
 /// The leader's loop: whenever something happened, and now and then, the core decides.
 async fn decide(node: &Rc<Node>, term: u64) {
     let mut last = Instant::now();
     while leads(node, term) {
+        let began = Instant::now();
         {
             let now = node.now();
             let mut guard = node.scheduler.borrow_mut();
@@ -482,7 +495,8 @@
                 carry_out(node, term, command);
             }
         }
-        let least = Duration::from_millis(10).saturating_sub(last.elapsed());
+        let pause = pause_after(began.elapsed(), node.settings.cpu_share);
+        let least = pause.saturating_sub(last.elapsed());
         if !least.is_zero() {
             sleep(least).await;
         }
--- a/crates/walnutlug/src/node/tests.rs
+++ b/crates/walnutlug/src/node/tests.rs
@@ -40,7 +40,11 @@
         ("POST", "/ready", 405),
     ] {
         let request = Request { method: method.into(), path: path.into(), body: vec![] };
-        assert_eq!(handle(node.clone(), request).await.status, status, "{method} {path}");
+        assert_eq!(
+            handle(node.clone(), Rc::default(), request).await.status,
+            status,
+            "{method} {path}"
+        );
     }
 }
 
@@ -98,9 +102,9 @@
     let node = StandIn::default().node();
     let hello = || Request { method: "POST".into(), path: "/hello".into(), body: vec![] };
     node.open.set(Sockets::share(node.settings.fd_limit).workers_kept);
-    assert!(!handle(node.clone(), hello()).await.close);
+    assert!(!handle(node.clone(), Rc::default(), hello()).await.close);
     node.open.set(node.open.get() + 1);
-    assert!(handle(node.clone(), hello()).await.close);
+    assert!(handle(node.clone(), Rc::default(), hello()).await.close);
 }
 
 #[tokio::test(start_paused = true)]
@@ -170,7 +174,7 @@
     let body = serde_json::json!({"tree": "n-1", "address": "10.0.0.1:1", "breed": "t8",
         "grove": "east", "windfall": true, "season": 1, "ring": seq, "staff": 0, "shakeS": null,
         "nuts": [{"nut": format!("{JOB}/0"), "try": 1, "stage": "running"}]});
-    let answer = workers::hello(node, body.to_string().as_bytes());
+    let answer = workers::answer_report(node, &LastReport::default(), body.to_string().as_bytes());
     let told: serde_json::Value = serde_json::from_slice(&answer.body).expect("json");
     let calls = told["calls"].as_array().into_iter().flatten();
     (answer.status, calls.map(|c| c["call"].to_string()).collect())
--- a/crates/walnutlug/src/settings.rs
+++ b/crates/walnutlug/src/settings.rs
@@ -29,6 +29,8 @@
     pub state_next: Option<crate::state::Limits>,
     pub cloud_rps: f64,
     pub fd_limit: u32,
+    /// The part of a core that the node may use, above 0 and at most 1.
+    pub cpu_share: f64,
 }
 
 /// How a node's sockets are shared out. One node leads, so all workers may keep a connection to it,
@@ -272,6 +274,10 @@
         let cloud_rps = r.number("facts.cloud.rps", 0.1, 1.0e6);
         let list_lag_s = r.number("facts.cloud.list_lag_s", 0.0, 3_600.0);
         let fd_limit = r.number("facts.resources.fd_limit", 1.0, 1.0e7);
+        let cpu_share = match r.at("facts.resources.cpu_share") {
+            Value::Null => 1.0,
+            _ => r.number("facts.resources.cpu_share", 0.001, 1_024.0).min(1.0),
+        };
         let least = Sockets::least(peers.len());
         if fd_limit < f64::from(least) {
             r.faults.push(format!(
@@ -307,6 +313,7 @@
             state_next,
             cloud_rps,
             fd_limit: fd_limit as u32,
+            cpu_share,
         })
     }
 }
--- a/crates/walnutlug/src/settings/tests.rs
+++ b/crates/walnutlug/src/settings/tests.rs
@@ -26,6 +26,23 @@
     assert_eq!(s.peers.len(), 1);
     assert_eq!(s.site.wait_aim("quick"), Some(Span::secs(2)));
     assert_eq!(s.site.value_bytes, 8192);
+    assert_eq!(s.cpu_share, 0.04);
+}
+
+#[test]
+fn a_part_of_a_core_that_is_not_told_or_more_than_one_counts_as_one() {
+    let mut settings = sample();
+    for (told, counts) in [
+        (Value::Null, Some(1.0)),
+        (json!(4.0), Some(1.0)),
+        (json!(0.02), Some(0.02)),
+        (json!(0.0), None),
+        (json!("half"), None),
+    ] {
+        settings["facts"]["resources"]["cpu_share"] = told.clone();
+        let read = Settings::parse(&settings.to_string());
+        assert_eq!(read.ok().map(|s| s.cpu_share), counts, "{told}");
+    }
 }
 
 #[test]
--- a/crates/walnutlug/src/workers.rs
+++ b/crates/walnutlug/src/workers.rs
@@ -12,6 +12,9 @@
 use crate::http::server::Answer;
 use crate::node::Node;
 
+mod repeated;
+pub use repeated::LastReport;
+
 /// Reads a report; what is malformed changes nothing.
 fn parse(body: &[u8]) -> Result<Report, String> {
     let report: Report = serde_json::from_slice(body).map_err(|e| e.to_string())?;
@@ -27,33 +30,60 @@
     Ok(report)
 }
 
-pub fn hello(node: &Node, body: &[u8]) -> Answer {
+/// Answers a worker's report. `last` belongs to the connection on which it came.
+pub fn answer_report(node: &Node, last: &LastReport, body: &[u8]) -> Answer {
+    if let Some(token) = repeated_report(node, last, body) {
+        return accepted(token, Vec::new());
+    }
     let report = match parse(body) {
         Ok(report) => report,
         Err(e) => return Answer::error(400, e),
     };
     let role = node.leadership.borrow().role();
-    match role {
-        Role::Leading { .. } => {
-            let now = node.now();
-            let answer = match node.scheduler.borrow_mut().as_mut() {
-                Some(scheduler) => {
-                    scheduler.known_until = node.known_until();
-                    node.tell_renewing(scheduler.may_renew(now));
-                    scheduler.report(now, &report)
-                }
-                None => None,
-            };
-            node.pump();
-            match answer {
-                Some((token, calls)) => accepted(token, calls),
-                None => redirect(node),
-            }
-        }
+    let answer = match role {
+        Role::Leading { .. } => new_report(node, last, body, &report),
         // The records aren't read yet. An answer would renew the lease of tasks that were cancelled
         // while nobody could write or read, perhaps almost as long ago as they may take to go.
-        Role::Loading { .. } | Role::Standing | Role::Following => redirect(node),
+        Role::Loading { .. } | Role::Standing | Role::Following => None,
+    };
+    match answer {
+        Some((token, calls)) => accepted(token, calls),
+        None => redirect(node),
+    }
+}
+
+/// The token to answer with, if the report is the connection's last one again and that left nothing
+/// to do. Nothing is to be decided then either, so the leader isn't woken.
+fn repeated_report(node: &Node, last: &LastReport, body: &[u8]) -> Option<u64> {
+    let (settled, sequence) = last.repeated_by(body)?;
+    if !matches!(node.leadership.borrow().role(), Role::Leading { .. }) {
+        return None;
     }
+    let now = node.now();
+    let mut scheduler = node.scheduler.borrow_mut();
+    let scheduler = scheduler.as_mut()?;
+    scheduler.known_until = node.known_until();
+    scheduler.report_unchanged(now, settled, sequence)
+}
+
+/// The leader's token and commands for a report that may say something new.
+fn new_report(
+    node: &Node,
+    last: &LastReport,
+    body: &[u8],
+    report: &Report,
+) -> Option<(u64, Vec<Call>)> {
+    let now = node.now();
+    let mut scheduler = node.scheduler.borrow_mut();
+    let scheduler = scheduler.as_mut()?;
+    scheduler.known_until = node.known_until();
+    node.tell_renewing(scheduler.may_renew(now));
+    let answer = scheduler.report(now, report);
+    let without_commands = answer.as_ref().is_some_and(|(_, calls)| calls.is_empty());
+    let settled = without_commands.then(|| scheduler.settle_report(now, report)).flatten();
+    last.remember(body, report, settled);
+    node.pump();
+    answer
 }
 
 fn accepted(token: u64, calls: Vec<Call>) -> Answer {
