--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -138,6 +138,11 @@
     pub notice: Option<Time>,
     /// Tasks that are on it as far as anybody knows.
     pub tasks: BTreeSet<TaskId>,
+    /// How many of them the jobs gave each priority to, the lowest first. A job may count with a higher
+    /// one that needs it, never with a lower one.
+    pub(crate) ranks: [u32; Rank::COUNT],
+    /// How many of them are told to stop.
+    pub(crate) stopping: u32,
     /// Tasks that it reports and the book doesn't place there: room that can't be counted on.
     pub foreign: u32,
     pub cpus: f64,
@@ -169,6 +174,12 @@
         token(term, self.fence)
     }
 
+    /// The lowest priority that a job gave to one of its tasks.
+    pub(crate) fn lowest_rank(&self) -> Option<Rank> {
+        let lowest = self.ranks.iter().position(|&tasks| tasks > 0)?;
+        Rank::ALL.get(lowest).copied()
+    }
+
     /// Nothing more is started there until it shows that it heard of this.
     pub(crate) fn doubt(&mut self, now: Time, term: u64) {
         self.settled = None;
@@ -667,6 +678,8 @@
             rented: now,
             notice: None,
             tasks: BTreeSet::new(),
+            ranks: [0; Rank::COUNT],
+            stopping: 0,
             foreign: 0,
             cpus: 0.0,
             gpus: 0.0,
@@ -764,6 +777,7 @@
         machine.cpus += job.spec.cpus;
         machine.gpus += job.spec.gpus;
         machine.memory += job.spec.memory_gb;
+        machine.ranks[job.spec.rank as usize] += 1;
         job.placed += 1;
         *job.zones.entry(machine.zone.clone()).or_default() += 1;
         let team = self.team_use.entry(job.spec.team.clone()).or_default();
@@ -778,6 +792,7 @@
         if !machine.tasks.remove(&id) {
             return;
         }
+        machine.ranks[job.spec.rank as usize] -= 1;
         machine.cpus -= job.spec.cpus;
         machine.gpus -= job.spec.gpus;
         machine.memory -= job.spec.memory_gb;
@@ -829,6 +844,10 @@
             job.done += 1;
             job.errors = 0;
         }
+        if let Some(machine) = self.machines.get_mut(machine as usize) {
+            machine.stopping += u32::from(after == Phase::Stopping);
+            machine.stopping -= u32::from(before == Phase::Stopping && after != Phase::Stopping);
+        }
         if before.placed() || after.placed() {
             self.unsettle(machine);
         }
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -1,11 +1,13 @@
 //! Rounds: what was decided is written before anything is sent, and sent once it is written.
 
 use crate::book::{Command, JobIx, MachineState, Outcome, Scheduler, TaskId, PLACED_UNIT};
+use crate::document::Document;
 use crate::job::{keys, End};
-use crate::task::{Input, MachineIx, Phase};
+use crate::task::{Input, MachineIx, Phase, Task};
 use crate::time::{Span, Time};
 use crate::wire::{Call, Change, Guard, Txn};
-use serde_json::{json, Value};
+use serde::Serialize;
+use serde_json::Value;
 
 const MAX_TXN_BYTES: usize = 40 * 1024;
 /// The part of the write allowance that evidence and clean-up leave to starts and ends.
@@ -50,6 +52,28 @@
     lazy: bool,
 }
 
+/// The stored form of some of a job's tasks. The names and their order are those of all versions.
+#[derive(Serialize)]
+struct ChunkRecord<'a> {
+    #[serde(rename = "t")]
+    tasks: Vec<TaskRecord<'a>>,
+    /// Names the transaction that wrote it.
+    #[serde(rename = "w")]
+    nonce: &'a str,
+}
+
+/// The stored form of one task.
+#[derive(Serialize)]
+#[serde(untagged)]
+enum TaskRecord<'a> {
+    /// Pending, and never placed before.
+    Untouched(u8),
+    /// Phase and attempt.
+    Off(u8, u32),
+    /// Phase, attempt, machine, its session, and when it was placed.
+    Placed(u8, u32, &'a str, u64, u64),
+}
+
 /// What goes of a job's records.
 struct CleanUp {
     job: JobIx,
@@ -224,7 +248,7 @@
         let base = chunk as u32 * job.chunk_size;
         let end = base.saturating_add(job.chunk_size).min(job.spec.tasks);
         let value = self.records(ix, base, end);
-        if value.to_string().len() <= self.limits.value_bytes {
+        if value.size() <= self.limits.value_bytes {
             self.add_records(batch, ix, chunk, None, value, base..end);
         } else {
             let size = part_size(self.limits.value_bytes);
@@ -265,22 +289,19 @@
     }
 
     /// The stored form of the job's tasks from one up to another.
-    fn records(&self, ix: JobIx, from: u32, to: u32) -> Value {
-        let Some(job) = self.jobs.get(&ix) else { return Value::Null };
-        let record = |index: u32| {
-            let task = &job.tasks[index as usize];
-            match task.phase {
-                Phase::Pending if task.attempt == 1 => json!(0),
-                Phase::Pending => json!([0, task.attempt]),
-                Phase::Done => json!([5, task.attempt]),
-                phase => {
-                    let name = &self.machines[task.machine as usize].name;
-                    let placed = task.placed_at.since(job.accepted).0 / PLACED_UNIT.0;
-                    json!([phase.code(), task.attempt, name, task.session, placed])
-                }
+    fn records(&self, ix: JobIx, from: u32, to: u32) -> Document {
+        let Some(job) = self.jobs.get(&ix) else { return Document::new(&()) };
+        let record = |task: &Task| match task.phase {
+            Phase::Pending if task.attempt == 1 => TaskRecord::Untouched(0),
+            Phase::Pending | Phase::Done => TaskRecord::Off(task.phase.code(), task.attempt),
+            phase => {
+                let name = &self.machines[task.machine as usize].name;
+                let placed = task.placed_at.since(job.accepted).0 / PLACED_UNIT.0;
+                TaskRecord::Placed(phase.code(), task.attempt, name, task.session, placed)
             }
         };
-        json!({"w": self.nonce(), "t": (from..to).map(record).collect::<Vec<Value>>()})
+        let tasks = job.tasks[from as usize..to as usize].iter().map(record).collect();
+        Document::new(&ChunkRecord { tasks, nonce: &self.nonce() })
     }
 
     fn add_records(
@@ -289,7 +310,7 @@
         ix: JobIx,
         chunk: usize,
         part: Option<u32>,
-        value: Value,
+        value: Document,
         tasks: std::ops::Range<u32>,
     ) {
         let Some(job) = self.jobs.get_mut(&ix) else { return };
@@ -328,8 +349,8 @@
         // After an acknowledged withdrawal nothing can be dispatched: the end's absence is part
         // of the write itself.
         guard(keys::end(&job.name), 0);
-        batch.bytes += value.to_string().len() + key.len() * 2 + 64;
-        batch.txn.apply.push(Change::put(key, value));
+        batch.bytes += value.size() + key.len() * 2 + 64;
+        batch.txn.apply.push(Change::put_document(key, value));
         batch.written.push((ix, chunk, part));
     }
 
@@ -369,7 +390,7 @@
             job.ending = true;
             let key = keys::end(&job.name);
             batch.txn.guards.push(Guard { key: key.clone(), mark: 0 });
-            batch.txn.apply.push(Change::put(key, json!(end)));
+            batch.txn.apply.push(Change::put(key, end));
             batch.ends.push((ix, end));
         }
         self.tally.ends += batch.ends.len();
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -20,6 +20,7 @@
     /// The cloud answers nothing at present.
     pub down_until: Time,
     last_look: Time,
+    last_rent: Time,
     /// When slow machines were looked for last.
     pub(crate) slow_looked_for: Time,
     pub returning: u32,
@@ -121,6 +122,9 @@
 /// Machines in one request, by the protocol.
 const MOST_ASKED: u32 = 50;
 const LOOK_EVERY: Span = Span::millis(500);
+/// How often needs are compared with the fleet while no machines are asked for: a boot takes many times
+/// that. While some are, of which one request gets only so many, at every look.
+const RENT_EVERY: Span = Span::millis(1_000);
 /// How often the cost of every machine and task is added up: only the log tells it.
 const ACCOUNT_EVERY: Span = Span::secs(5);
 /// Refusals in a row that lengthen the pause before an offer is tried again: 16 s at most, since the
@@ -152,7 +156,10 @@
             return;
         }
         // A new leader first hears what machines there are.
-        if self.fleet.listed || now.since(self.started_at) > Span::secs(10) {
+        let knows_fleet = self.fleet.listed || now.since(self.started_at) > Span::secs(10);
+        let pause = if self.fleet.asking.is_empty() { RENT_EVERY } else { LOOK_EVERY };
+        if knows_fleet && now.since(self.fleet.last_rent) >= pause {
+            self.fleet.last_rent = now;
             let queue = self.queue(now);
             let none_may_run = !queue.iter().any(|&(_, ix)| self.room_in_team(ix) > 0);
             self.rent(now, queue);
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -13,6 +13,12 @@
     Prod,
 }
 
+impl Rank {
+    pub const COUNT: usize = Rank::ALL.len();
+    /// All of them, the lowest first, each at the place of its number.
+    pub const ALL: [Rank; 4] = [Rank::Low, Rank::Normal, Rank::High, Rank::Prod];
+}
+
 /// What the owner asked for. Stored in the state service as it is.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct JobSpec {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod book;
 pub mod chain;
 pub mod dispatch;
+pub mod document;
 pub mod fleet;
 pub mod health;
 pub mod job;
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -17,7 +17,7 @@
 /// Seconds after which a missed aim on starting is given up, and the one on finishing counts.
 const GRACE: f64 = 1.5;
 /// Shortest time between two looks for work to stop: what was stopped needs a moment to go.
-const PREEMPT_EVERY: Span = Span::millis(100);
+const PREEMPT_EVERY: Span = Span::millis(300);
 /// Jobs for which work is stopped in one look; the next look takes the next.
 const MOST_PRESSED: usize = 16;
 /// Seconds that it takes to place a stopped task again.
@@ -356,8 +356,6 @@
     /// once; a job then looks at those alone, so that a round costs about what it changes and not
     /// tasks times machines.
     pub fn place(&mut self, now: Time) {
-        let up = self.machines.iter().filter(|m| m.state == MachineState::Up);
-        self.fleet_cpus = up.filter_map(|m| Some(self.types.get(m.kind?)?.cpus)).sum();
         let queue = self.queue(now);
         if queue.is_empty() {
             return;
@@ -372,12 +370,18 @@
                     && kind.memory_gb - m.memory + SLACK >= least.1
             })
         };
-        let mut open: Vec<MachineIx> = (0..self.machines.len() as MachineIx)
-            .filter(|&ix| {
-                let m = &self.machines[ix as usize];
-                roomy(self, m) && self.open_for_work(now, m)
-            })
-            .collect();
+        let mut open: Vec<MachineIx> = Vec::new();
+        let mut fleet_cpus = 0.0;
+        for (m, ix) in self.machines.iter().zip(0..) {
+            if m.state != MachineState::Up {
+                continue;
+            }
+            fleet_cpus += m.kind.and_then(|k| self.types.get(k)).map_or(0.0, |k| k.cpus);
+            if roomy(self, m) && self.open_for_work(now, m) {
+                open.push(ix);
+            }
+        }
+        self.fleet_cpus = fleet_cpus;
         let mut blocked: Vec<(Urgency, JobIx)> = Vec::new();
         // What age lifts goes first, within its part; beyond that it takes its turn.
         let lifted: Vec<(Urgency, JobIx)> =
@@ -551,7 +555,10 @@
     fn rooms_to_make(&self, now: Time, highest: Rank, owed: bool) -> Vec<Room> {
         let mut rooms = Vec::new();
         for (machine, m) in self.machines.iter().enumerate() {
-            if m.tasks.is_empty() || !self.open_for_work(now, m) {
+            // Without work to stop, and none that is stopping, a machine has no more room than when the
+            // jobs found none there.
+            let may_make_room = m.stopping > 0 || owed || m.lowest_rank() < Some(highest);
+            if m.tasks.is_empty() || !may_make_room || !self.open_for_work(now, m) {
                 continue;
             }
             let Some(kind) = m.kind.and_then(|k| self.types.get(k)) else { continue };
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Map, Value};
 
+use crate::document::Document;
 use crate::job::{JobSpec, Rank};
 
 /// What a submission may be refused for as malformed: the field and what is wrong with it.
@@ -415,7 +416,7 @@
 pub enum Change {
     Put {
         put: String,
-        value: Value,
+        value: Document,
         #[serde(rename = "hold", skip_serializing_if = "Option::is_none", default)]
         lease: Option<u64>,
     },
@@ -425,7 +426,10 @@
 }
 
 impl Change {
-    pub fn put(key: impl Into<String>, value: Value) -> Change {
+    pub fn put(key: impl Into<String>, value: impl Serialize) -> Change {
+        Change::put_document(key, Document::new(&value))
+    }
+    pub fn put_document(key: impl Into<String>, value: Document) -> Change {
         Change::Put { put: key.into(), value, lease: None }
     }
     pub fn drop(key: impl Into<String>) -> Change {
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -32,7 +32,7 @@
     pub fn apply(&mut self, txn: &Txn) -> Outcome {
         if let Some((value_bytes, ops)) = self.limits {
             let size = |c: &Change| match c {
-                Change::Put { value, .. } => value.to_string().len(),
+                Change::Put { value, .. } => value.size(),
                 Change::Drop { .. } => 0,
             };
             let large = txn.apply.iter().any(|c| size(c) > value_bytes);
@@ -53,7 +53,7 @@
                     if put.starts_with(keys::END) {
                         assert!(!self.keys.contains_key(put), "an end is written once: {put}");
                     }
-                    self.keys.insert(put.clone(), (value.clone(), self.growth));
+                    self.keys.insert(put.clone(), (value.to_value(), self.growth));
                 }
                 Change::Drop { drop } => {
                     self.keys.remove(drop);
--- a/crates/walnutlug/src/node/lead.rs
+++ b/crates/walnutlug/src/node/lead.rs
@@ -7,6 +7,7 @@
 use tracing::{debug, info, warn};
 use walnutlug_core::book::{Command, Outcome, Scheduler};
 use walnutlug_core::chain::Found;
+use walnutlug_core::document::Document;
 use walnutlug_core::job::{keys, End};
 use walnutlug_core::leadership::{Input, Role};
 use walnutlug_core::time::{Span, Time};
@@ -93,7 +94,11 @@
     let value = leader_value(&node.settings.node_name, &node.incarnation, lease);
     let txn = Txn {
         guards: vec![Guard { key: keys::LEADER.into(), mark: 0 }],
-        apply: vec![Change::Put { put: keys::LEADER.into(), value, lease: Some(lease) }],
+        apply: vec![Change::Put {
+            put: keys::LEADER.into(),
+            value: Document::new(&value),
+            lease: Some(lease),
+        }],
     };
     let term = create_leader_key(&node.state, &txn, &node.incarnation).await;
     let Some(term) = term else {
@@ -472,7 +477,7 @@
             let now = node.now();
             let mut guard = node.scheduler.borrow_mut();
             let Some(s) = guard.as_mut() else { return };
-            if s.deaf(now) && node.workers_go_elsewhere() {
+            if node.workers_go_elsewhere() && s.deaf(now) {
                 drop(guard);
                 // Cut off from the workers while they reach another node: leading from here
                 // serves nobody. Another may, and this one holds back for a while.
--- a/crates/walnutlug/src/users.rs
+++ b/crates/walnutlug/src/users.rs
@@ -15,6 +15,7 @@
 use tokio::time::{sleep, Duration, Instant};
 use tracing::{debug, info};
 use walnutlug_core::book::{chunk_size, todo_value, Outcome};
+use walnutlug_core::document::Document;
 use walnutlug_core::job::{keys, End, JobSpec};
 use walnutlug_core::wire::{self, is_job_ref, job_answer, Change, Guard, Stage, Txn};
 
@@ -52,7 +53,7 @@
 
 struct Waiting {
     name: String,
-    value: serde_json::Value,
+    value: Document,
     needs: Rc<[String]>,
     /// A job that it needs is cancelled: it is accepted, and ends with that.
     aborted: bool,
@@ -198,9 +199,9 @@
         }
     }
     let chunk = chunk_size(node.settings.site.value_bytes);
-    let value = todo_value(&spec, node.wall_us(), chunk);
+    let value = Document::new(&todo_value(&spec, node.wall_us(), chunk));
     let most = node.state.limits().value_bytes.min(node.settings.site.value_bytes);
-    if value.to_string().len() > most {
+    if value.size() > most {
         return Answer::error(400, "breeds, waits: the description is too long to be kept");
     }
     // What can't be written in time is told so at once, and when to come again.
@@ -342,7 +343,7 @@
                 let mut bytes = 0;
                 let mut n = 0;
                 for w in queue.iter().take(most) {
-                    bytes += w.value.to_string().len() + 256;
+                    bytes += w.value.size() + 256;
                     if n > 0 && bytes > 40 * 1024 {
                         break;
                     }
@@ -376,7 +377,7 @@
                 txn.apply.push(Change::put(keys::end(&w.name), serde_json::json!(End::Aborted)));
             } else {
                 let key = keys::description(&w.name, !w.needs.is_empty());
-                txn.apply.push(Change::put(key, w.value.clone()));
+                txn.apply.push(Change::put_document(key, w.value.clone()));
             }
         }
         match commit_twice(node, &txn).await {
--- a/crates/walnutlug/src/users/stand_in.rs
+++ b/crates/walnutlug/src/users/stand_in.rs
@@ -260,7 +260,7 @@
                 for change in &txn.apply {
                     match change {
                         Change::Put { put, value, .. } => {
-                            let entry = (value.clone(), self.growth.get());
+                            let entry = (value.to_value(), self.growth.get());
                             self.keys.borrow_mut().insert(put.clone(), entry);
                         }
                         Change::Drop { drop } => {
