--- a/crates/walnutlug/src/node/tests.rs
+++ b/crates/walnutlug/src/node/tests.rs
@@ -171,13 +171,62 @@
 
 /// The worker reports its task. The answer's status and calls.
 fn hello(node: &Node, seq: u64) -> (u16, Vec<String>) {
+    let (status, _, calls) = report_on(node, &LastReport::default(), seq, 0);
+    (status, calls)
+}
+
+/// The same on a connection that remembers, by a worker that has seen the token. The answer's status,
+/// token and calls.
+fn report_on(node: &Node, last: &LastReport, seq: u64, token: u64) -> (u16, u64, Vec<String>) {
     let body = serde_json::json!({"tree": "n-1", "address": "10.0.0.1:1", "breed": "t8",
-        "grove": "east", "windfall": true, "season": 1, "ring": seq, "staff": 0, "shakeS": null,
+        "grove": "east", "windfall": true, "season": 1, "ring": seq, "staff": token, "shakeS": null,
         "nuts": [{"nut": format!("{JOB}/0"), "try": 1, "stage": "running"}]});
-    let answer = workers::answer_report(node, &LastReport::default(), body.to_string().as_bytes());
+    let answer = workers::answer_report(node, last, body.to_string().as_bytes());
     let told: serde_json::Value = serde_json::from_slice(&answer.body).expect("json");
     let calls = told["calls"].as_array().into_iter().flatten();
-    (answer.status, calls.map(|c| c["call"].to_string()).collect())
+    let calls = calls.map(|c| c["call"].to_string()).collect();
+    (answer.status, told["staff"].as_u64().unwrap_or(0), calls)
+}
+
+/// Whether the connection takes a report for its last one again.
+fn remembers(last: &LastReport, seq: u64, token: u64) -> bool {
+    let body = serde_json::json!({"tree": "n-1", "address": "10.0.0.1:1", "breed": "t8",
+        "grove": "east", "windfall": true, "season": 1, "ring": seq, "staff": token, "shakeS": null,
+        "nuts": [{"nut": format!("{JOB}/0"), "try": 1, "stage": "running"}]});
+    last.repeated_by(body.to_string().as_bytes()).is_some_and(|(_, found)| found == seq)
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_repeated_report_is_answered_until_its_job_is_cancelled() {
+    tokio::task::LocalSet::new()
+        .run_until(async {
+            let store = StandIn::default();
+            let c = leader_with_a_task(&store).await;
+            let (leader, last) = (c.nodes[0].clone(), LastReport::default());
+            let (status, token, calls) = report_on(&leader, &last, 1, 0);
+            assert_eq!((status, calls), (200, vec![]));
+            assert!(!remembers(&last, 2, token), "the worker hadn't seen the token");
+            for seq in 2..40 {
+                tokio::time::advance(Duration::from_secs(1)).await;
+                leader.watermark.borrow_mut().read(leader.now());
+                assert_eq!(report_on(&leader, &last, seq, token), (200, token, vec![]), "{seq}");
+            }
+            assert!(remembers(&last, 40, token), "most of these were repetitions");
+            assert!(
+                !remembers(&last, 40, token + 1) && !remembers(&LastReport::default(), 40, token)
+            );
+            let scheduler = leader.scheduler.borrow();
+            let machine = scheduler.as_ref().and_then(|s| s.machines.first()).expect("a machine");
+            assert_eq!((machine.seq, machine.last_report), (39, leader.now()));
+            drop(scheduler);
+            leader.learn_end(JOB, End::Aborted);
+            let (status, _, calls) = report_on(&leader, &last, 40, token);
+            assert_eq!((status, calls), (200, vec!["\"kill\"".to_owned()]));
+            // One that no longer leads renews nothing, whatever it remembers.
+            leader.give_up_lead("for the test");
+            assert_eq!(report_on(&leader, &last, 41, token).0, 421);
+        })
+        .await;
 }
 
 /// The state service refuses the leader alone, another node confirms a cancellation, then the service
--- a/crates/walnutlug/src/workers/repeated.rs
+++ b/crates/walnutlug/src/workers/repeated.rs
@@ -54,6 +54,3 @@
         (found == report.seq).then(|| Remembered { body: body.to_vec(), sequence, settled })
     }
 }
-
-#[cfg(test)]
-mod tests;
