--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -182,7 +182,6 @@
 
     /// Nothing more is started there until it shows that it heard of this.
     pub(crate) fn doubt(&mut self, now: Time, term: u64) {
-        self.settled = None;
         self.fence += 1;
         self.must_see = token(term, self.fence);
         self.deaf_since.get_or_insert(now);
@@ -327,6 +326,8 @@
     pub(crate) last_sweep: Time,
     /// Numbers the reports that left nothing to do.
     pub(crate) next_settled: u64,
+    /// Those whose holders have to be told that they hold no more.
+    pub(crate) withdrawn: Vec<crate::unchanged::Withdrawn>,
     /// Messages to workers whose outcome is open.
     pub(crate) under_way: usize,
     /// Machines looked at for placing, for tests of what a round costs.
@@ -415,6 +416,7 @@
             attention: Vec::new(),
             last_sweep: Time(0),
             next_settled: 0,
+            withdrawn: Vec::new(),
             under_way: 0,
             looked_at: 0,
             started_at: now,
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -518,7 +518,8 @@
         }
         let mut names = Vec::new();
         let mut causes = Vec::new();
-        for m in &mut self.machines {
+        let mut returning = Vec::new();
+        for (m, ix) in self.machines.iter_mut().zip(0..) {
             let again = m.state == MachineState::Returning
                 && m.return_sent.is_some_and(|t| now.since(t) > RETURN_RETRY);
             // A drained machine is returned when empty; a silent one is returned because it holds
@@ -531,11 +532,14 @@
             if (due || again) && names.len() < 100 {
                 causes.push(format!("{} ({})", m.name, m.draining.unwrap_or("asked again")));
                 m.state = MachineState::Returning;
-                m.settled = None;
+                returning.push(ix);
                 m.return_sent = Some(now);
                 names.push(m.name.clone());
             }
         }
+        for ix in returning {
+            self.unsettle(ix);
+        }
         if !names.is_empty() {
             self.fleet.returning += 1;
             self.note(format!("returning {}", causes.join(", ")));
--- a/crates/core/src/receipts.rs
+++ b/crates/core/src/receipts.rs
@@ -122,6 +122,9 @@
         let starts = std::mem::take(&mut machine.in_message);
         let term = self.term;
         self.attend(m);
+        if !matches!(outcome, DirectOutcome::Answered(_)) {
+            self.unsettle(m);
+        }
         let machine = &mut self.machines[m as usize];
         match outcome {
             DirectOutcome::Answered(report) => {
@@ -628,8 +631,8 @@
             return;
         }
         machine.state = MachineState::Gone;
-        machine.settled = None;
         machine.outbox.clear();
+        self.unsettle(m);
         self.strays.retain(|_, on| *on != m);
         self.gone.push_back((now, m));
         // Starts that waited for the next message to it are never sent.
--- a/crates/core/src/unchanged.rs
+++ b/crates/core/src/unchanged.rs
@@ -6,6 +6,9 @@
 //! the report, and hands a repetition to [`Scheduler::report_unchanged`], which looks at one machine and
 //! nothing else.
 //!
+//! The report may have come through another node, which then answers the repetitions itself (see
+//! [`crate::serving`]); it is the holder of the mark and is told when that is withdrawn.
+//!
 //! This is exact and no estimate: whatever could give such a report a meaning (a task of the machine
 //! changes, its fence is raised, another report of it comes, the machine types change) withdraws the
 //! mark first, and the report is then read in full.
@@ -16,21 +19,41 @@
 use crate::leadership::token;
 use crate::receipts::BEGUN_AFTER;
 use crate::task::{MachineIx, Phase};
-use crate::time::Time;
+use crate::time::{Span, Time};
 use crate::wire::{self, Report, TaskReport, TaskStage};
 
 /// Names one report that left nothing to do. Of use to the scheduler that gave it, and to no other.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SettledReport {
-    term: u64,
-    machine: MachineIx,
-    number: u64,
+    /// The term of the scheduler.
+    pub term: u64,
+    /// The machine's place in that scheduler's table.
+    pub machine: MachineIx,
+    /// Never given twice in a term.
+    pub number: u64,
+}
+
+/// Who answers repetitions of a settled report: 0 is the leader's own node, and what other numbers
+/// mean is the caller's.
+pub type Holder = u16;
+
+/// The holder that is the leader's own node.
+pub const OWN_NODE: Holder = 0;
+
+/// A mark that holds no more, and who has to be told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Withdrawn {
+    /// The node that answered repetitions so far.
+    pub holder: Holder,
+    /// What it may not answer any more.
+    pub settled: SettledReport,
 }
 
 /// What a machine keeps of its last settled report.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Settled {
     number: u64,
+    holder: Holder,
     /// From then on time alone gives the report a meaning: a task has run for long enough to count
     /// as begun.
     until: Time,
@@ -39,7 +62,12 @@
 impl Scheduler {
     /// To be asked right after the report was answered without commands. `None`: a repetition of it
     /// would have to be read in full.
-    pub fn settle_report(&mut self, now: Time, report: &Report) -> Option<SettledReport> {
+    pub fn settle_report(
+        &mut self,
+        now: Time,
+        report: &Report,
+        holder: Holder,
+    ) -> Option<SettledReport> {
         let &machine = self.by_name.get(&report.machine)?;
         let known = &self.machines[machine as usize];
         let is_newest = (report.session, report.seq) == (known.session, known.seq);
@@ -70,9 +98,10 @@
         if reported != known.tasks || until <= now {
             return None;
         }
+        self.unsettle(machine);
         self.next_settled += 1;
         let number = self.next_settled;
-        self.machines[machine as usize].settled = Some(Settled { number, until });
+        self.machines[machine as usize].settled = Some(Settled { number, holder, until });
         Some(SettledReport { term: self.term, machine, number })
     }
 
@@ -98,6 +127,13 @@
         Some(((job_index, index), until))
     }
 
+    /// For how long repetitions of the settled report mean nothing, if nothing happens.
+    pub fn settled_for(&self, now: Time, settled: SettledReport) -> Span {
+        let machine = self.machines.get(settled.machine as usize);
+        let known = machine.and_then(|m| m.settled).filter(|s| s.number == settled.number);
+        known.map_or(Span::ZERO, |s| s.until.since(now))
+    }
+
     /// The settled report came again, the same but for its sequence number. The token to answer with,
     /// and no commands; `None`: the report has to be read in full.
     pub fn report_unchanged(
@@ -106,23 +142,43 @@
         settled: SettledReport,
         sequence: u64,
     ) -> Option<u64> {
-        if settled.term != self.term || !self.may_renew(now) {
+        if !self.may_renew(now) || !self.heard_unchanged(now, settled, sequence) {
             return None;
         }
-        let machine = self.machines.get_mut(settled.machine as usize)?;
+        let machine = self.machines.get(settled.machine as usize)?;
+        Some(machine.token(self.term))
+    }
+
+    /// The settled report came again, here or at its holder, who answered it. Whether it was of use.
+    pub fn heard_unchanged(&mut self, now: Time, settled: SettledReport, sequence: u64) -> bool {
+        if settled.term != self.term {
+            return false;
+        }
+        let Some(machine) = self.machines.get_mut(settled.machine as usize) else { return false };
         let holds = machine.settled.is_some_and(|s| s.number == settled.number && now < s.until);
         if !holds || sequence <= machine.seq {
-            return None;
+            return false;
         }
         machine.seq = sequence;
         machine.last_report = now;
-        Some(machine.token(self.term))
+        true
     }
 
-    /// A repetition of the machine's last report may mean something from now on.
+    /// A repetition of the machine's last report may mean something from now on. The only place where
+    /// a mark ends, so that its holder is always told.
     pub(crate) fn unsettle(&mut self, machine: MachineIx) {
-        if let Some(machine) = self.machines.get_mut(machine as usize) {
-            machine.settled = None;
+        let known = self.machines.get_mut(machine as usize);
+        let Some(Settled { number, holder, .. }) = known.and_then(|m| m.settled.take()) else {
+            return;
+        };
+        if holder != OWN_NODE {
+            let settled = SettledReport { term: self.term, machine, number };
+            self.withdrawn.push(Withdrawn { holder, settled });
         }
     }
+
+    /// The marks of other holders that ended since this was asked last, in their order.
+    pub fn take_withdrawn(&mut self) -> Vec<Withdrawn> {
+        std::mem::take(&mut self.withdrawn)
+    }
 }
--- a/crates/core/tests/sim/mod.rs
+++ b/crates/core/tests/sim/mod.rs
@@ -13,7 +13,7 @@
 use walnutlug_core::job::{keys, End, JobSpec};
 use walnutlug_core::time::{Span, Time};
 use walnutlug_core::tunables::{Site, Tunables};
-use walnutlug_core::unchanged::SettledReport;
+use walnutlug_core::unchanged::{SettledReport, OWN_NODE};
 use walnutlug_core::wire::{
     Call, Cause, Change, ListedMachine, MachineStage, Report, TaskStage, Txn,
 };
@@ -131,7 +131,7 @@
     }
     let answer = leader.s.report(now, report);
     let quiet = answer.as_ref().is_some_and(|(_, calls)| calls.is_empty());
-    let mark = quiet.then(|| leader.s.settle_report(now, report)).flatten();
+    let mark = quiet.then(|| leader.s.settle_report(now, report, OWN_NODE)).flatten();
     *settled = mark.map(|mark| (report.clone(), mark));
     answer
 }
--- a/crates/core/tests/unchanged.rs
+++ b/crates/core/tests/unchanged.rs
@@ -3,10 +3,10 @@
 
 mod world;
 
-use walnutlug_core::book::DirectOutcome;
+use walnutlug_core::book::{Command, DirectOutcome};
 use walnutlug_core::job::JobSpec;
 use walnutlug_core::time::Span;
-use walnutlug_core::unchanged::SettledReport;
+use walnutlug_core::unchanged::{SettledReport, OWN_NODE};
 use walnutlug_core::wire::{sequence_digits, Report, TaskStage};
 use world::{one_machine, spec, World};
 
@@ -17,7 +17,8 @@
 fn report(w: &mut World) -> (Report, Option<SettledReport>) {
     let report = w.workers.get_mut(MACHINE).expect("worker").report();
     let (token, calls) = w.leader.report(w.now, &report).expect("an answer");
-    let settled = calls.is_empty().then(|| w.leader.settle_report(w.now, &report)).flatten();
+    let settled =
+        calls.is_empty().then(|| w.leader.settle_report(w.now, &report, OWN_NODE)).flatten();
     w.workers.get_mut(MACHINE).expect("worker").answered(report.session, token, &calls);
     (report, settled)
 }
@@ -118,6 +119,46 @@
     assert_eq!(w.leader.report_unchanged(w.now, settled, report.seq + 1), None);
 }
 
+/// Numbers begin anew with each term, so that those of two leaders meet.
+#[test]
+fn a_mark_of_another_term_is_worth_nothing() {
+    let (mut w, first, settled) = running();
+    w.take_over();
+    w.settle();
+    let mut again = None;
+    while again.is_none_or(|mark: SettledReport| mark.number < settled.number) {
+        w.wait(500);
+        w.all_report();
+        w.settle();
+        again = report(&mut w).1;
+    }
+    let same_number = SettledReport { term: settled.term, ..again.expect("a mark") };
+    assert_eq!(w.leader.report_unchanged(w.now, same_number, first.seq + 99), None);
+    assert!(w.leader.report_unchanged(w.now, again.expect("a mark"), first.seq + 99).is_some());
+}
+
+#[test]
+fn an_idle_machine_that_is_given_back_or_gone_is_settled_no_more() {
+    for gone in [true, false] {
+        let mut w = one_machine();
+        let (first, settled) = report(&mut w);
+        let settled = settled.expect("nothing is left to do");
+        if gone {
+            w.leader.machine_gone(w.now, MACHINE);
+        } else {
+            w.leader.fleet.listed = true;
+            let returned = |c: &Command| matches!(c, Command::Return { .. });
+            while !w.commands.iter().any(returned) {
+                w.wait(1_000);
+                w.leader.heard_unchanged(w.now, settled, first.seq + w.now.0);
+                w.leader.look_at_fleet(w.now);
+                w.commands.extend(w.leader.take_commands());
+            }
+        }
+        assert_eq!(w.leader.report_unchanged(w.now, settled, u64::MAX), None, "gone: {gone}");
+    }
+}
+
 /// A start that is planned or under way for the machine: its reports are read until they show it.
 #[test]
 fn a_planned_start_unsettles_its_machine() {
--- a/crates/walnutlug/src/workers.rs
+++ b/crates/walnutlug/src/workers.rs
@@ -6,6 +6,7 @@
 use serde_json::json;
 use walnutlug_core::book::DirectOutcome;
 use walnutlug_core::leadership::Role;
+use walnutlug_core::unchanged::OWN_NODE;
 use walnutlug_core::wire::{Call, Commands, Report, ReportAnswer};
 
 use crate::http::client::{Client, Failure};
@@ -80,7 +81,8 @@
     node.tell_renewing(scheduler.may_renew(now));
     let answer = scheduler.report(now, report);
     let without_commands = answer.as_ref().is_some_and(|(_, calls)| calls.is_empty());
-    let settled = without_commands.then(|| scheduler.settle_report(now, report)).flatten();
+    let settled =
+        without_commands.then(|| scheduler.settle_report(now, report, OWN_NODE)).flatten();
     last.remember(body, report, settled);
     node.pump();
     answer
