--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod leadership;
 pub mod placement;
 pub mod receipts;
+pub mod serving;
 pub mod task;
 pub mod time;
 pub mod tunables;
--- /dev/null
+++ b/crates/core/src/serving.rs
@@ -0,0 +1,188 @@
+//! What a follower may answer to workers on the leader's behalf.
+//!
+//! A follower holds a share of the workers' connections. A report that may say something new goes to the
+//! leader, whose answer it passes on. A repetition of a report that left nothing to do
+//! ([`crate::unchanged`]) it answers itself, and tells the leader later that the machine was heard.
+//!
+//! Such an answer renews the leases of the machine's tasks, so the bound of [`crate::watermark`] holds for
+//! it: whoever renews knows of every cancellation that was told before the watermark. The follower knows
+//! nothing itself; it has the leader's knowledge, as of the last [`Grant`]. It asks, and the leader's
+//! grant says how old its own watermark was. Whatever the leader knew then has withdrawn its marks before
+//! the grant, on the same numbered stream. So, counted from when it *asked*, the follower's watermark is
+//! never younger than the leader's was. A lost, late or overtaken frame shows as a gap in the numbers, and
+//! all marks go.
+//!
+//! Nothing here depends on whether the leader still leads: marks serve through an election, until the
+//! window ends or a newer term grants.
+
+use std::collections::{HashMap, VecDeque};
+
+use crate::task::MachineIx;
+use crate::time::{Span, Time};
+use crate::tunables::Site;
+use crate::unchanged::SettledReport;
+use crate::watermark;
+
+/// For how long after a grant reports are passed on to the leader that gave it.
+const FRESH: Span = Span::secs(3);
+/// Questions whose answers are still of use.
+const MOST_ASKED: usize = 32;
+/// Marks remembered, some fifty bytes each: several for each machine that a node may serve.
+const MOST_MARKS: usize = 20_000;
+
+/// A leader's word to a follower that asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Grant {
+    /// The leader's term.
+    pub term: u64,
+    /// The question's number.
+    pub asked: u64,
+    /// For how long, as the leader answered, cancellations might have escaped it.
+    pub unknown_for: Span,
+    /// The number of the last mark withdrawn from the follower under the term; 0: none.
+    pub withdrawn: u64,
+}
+
+/// A mark that came with the leader's answer to a report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NewMark {
+    /// The report that left nothing to do.
+    pub settled: SettledReport,
+    /// The token to answer repetitions with.
+    pub token: u64,
+    /// For how long they mean nothing.
+    pub valid_for: Span,
+    /// The number of the last mark withdrawn before the leader answered.
+    pub withdrawn: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Mark {
+    number: u64,
+    token: u64,
+    until: Time,
+}
+
+#[derive(Debug)]
+struct Granted {
+    term: u64,
+    at: Time,
+    /// Every cancellation told before this has withdrawn its marks.
+    known_until: Time,
+    /// The number of the last withdrawal that arrived, with all before it.
+    withdrawn: u64,
+    marks: HashMap<MachineIx, Mark>,
+}
+
+/// A follower's side of the agreement with the leader.
+#[derive(Debug)]
+pub struct ServedLeader {
+    window: Span,
+    last_asked: u64,
+    asked: VecDeque<(u64, Time)>,
+    granted: Option<Granted>,
+}
+
+impl ServedLeader {
+    /// Under no leader yet.
+    pub fn new(site: &Site) -> ServedLeader {
+        let window = watermark::window(site);
+        ServedLeader { window, last_asked: 0, asked: VecDeque::new(), granted: None }
+    }
+
+    /// The leader is asked now. The number of the question.
+    pub fn ask(&mut self, now: Time) -> u64 {
+        if self.asked.len() >= MOST_ASKED {
+            self.asked.pop_front();
+        }
+        self.last_asked += 1;
+        self.asked.push_back((self.last_asked, now));
+        self.last_asked
+    }
+
+    /// A leader answered a question. Whether it was of use.
+    pub fn granted(&mut self, now: Time, grant: &Grant) -> bool {
+        let Some(&(_, asked)) = self.asked.iter().find(|(number, _)| *number == grant.asked) else {
+            return false;
+        };
+        let known_until = asked - grant.unknown_for;
+        match &mut self.granted {
+            Some(granted) if granted.term > grant.term => false,
+            Some(granted) if granted.term == grant.term => {
+                if grant.withdrawn < granted.withdrawn {
+                    return false; // Overtaken by newer ones.
+                }
+                granted.catch_up(grant.withdrawn);
+                granted.known_until = granted.known_until.max(known_until);
+                granted.at = now;
+                true
+            }
+            _ => {
+                self.granted = Some(Granted {
+                    term: grant.term,
+                    at: now,
+                    known_until,
+                    withdrawn: grant.withdrawn,
+                    marks: HashMap::new(),
+                });
+                true
+            }
+        }
+    }
+
+    /// Marks that the leader withdraws, with the number of the first.
+    pub fn withdraw(&mut self, term: u64, first: u64, marks: &[(MachineIx, u64)]) {
+        let Some(granted) = self.granted.as_mut().filter(|g| g.term == term) else { return };
+        granted.catch_up(first.saturating_sub(1));
+        granted.withdrawn = granted.withdrawn.max((first + marks.len() as u64).saturating_sub(1));
+        for (machine, number) in marks {
+            if granted.marks.get(machine).is_some_and(|mark| mark.number <= *number) {
+                granted.marks.remove(machine);
+            }
+        }
+    }
+
+    /// A mark that came with the leader's answer. Without everything withdrawn before it, or with what
+    /// came after it, it may be void already.
+    pub fn add(&mut self, now: Time, new: &NewMark) -> bool {
+        let Some(granted) = self.granted.as_mut() else { return false };
+        if granted.term != new.settled.term
+            || granted.withdrawn != new.withdrawn
+            || granted.marks.len() >= MOST_MARKS
+        {
+            return false;
+        }
+        let until = Time(now.0.saturating_add(new.valid_for.0));
+        let mark = Mark { number: new.settled.number, token: new.token, until };
+        granted.marks.insert(new.settled.machine, mark);
+        true
+    }
+
+    /// The token with which a repetition of the settled report may be answered now.
+    pub fn may_repeat(&self, now: Time, settled: SettledReport) -> Option<u64> {
+        let granted = self.granted.as_ref().filter(|g| g.term == settled.term)?;
+        let mark = granted.marks.get(&settled.machine)?;
+        let in_window = now.since(granted.known_until) <= self.window;
+        (mark.number == settled.number && now < mark.until && in_window).then_some(mark.token)
+    }
+
+    /// The term of the leader to which reports may be passed on now.
+    pub fn may_forward(&self, now: Time) -> Option<u64> {
+        self.granted.as_ref().filter(|g| now.since(g.at) <= FRESH).map(|g| g.term)
+    }
+
+    /// The term of the last grant.
+    pub fn term(&self) -> Option<u64> {
+        self.granted.as_ref().map(|g| g.term)
+    }
+}
+
+impl Granted {
+    /// If withdrawals up to that number have not all arrived, no mark is certain any more.
+    fn catch_up(&mut self, number: u64) {
+        if self.withdrawn < number {
+            self.marks.clear();
+            self.withdrawn = number;
+        }
+    }
+}
--- a/crates/walnutlug/src/main.rs
+++ b/crates/walnutlug/src/main.rs
@@ -6,6 +6,7 @@
 mod node;
 mod peers;
 mod script;
+mod serving;
 mod settings;
 mod state;
 mod users;
--- a/crates/walnutlug/src/node.rs
+++ b/crates/walnutlug/src/node.rs
@@ -25,10 +25,11 @@
 use crate::http::client::Client;
 use crate::http::server::{self, Answer, Request};
 use crate::peers::{self, Frame};
+use crate::serving::{self, Serving};
 use crate::settings::{Settings, Sockets};
 use crate::state::{Class, State};
-use crate::workers::LastReport;
-use crate::{users, workers};
+use crate::users;
+use crate::workers::{self, WorkerConnection};
 
 /// How long what another node said of itself is worth something.
 const PEER_FRESH: Duration = Duration::from_secs(4);
@@ -67,6 +68,8 @@
     /// Wakes the leader: something is to be decided.
     pub new_work: Notify,
     pub redirected: Cell<u16>,
+    /// Its part in answering the workers' reports.
+    pub serving: Serving,
     pub submit_times: RefCell<Histogram<u64>>,
     wake: Notify,
     step_down: Notify,
@@ -93,7 +96,7 @@
     /// Workers whose connection was closed to leave room for users, since it was told last.
     let_go: Cell<u32>,
     /// Tells this life of the node from its former ones.
-    life: u64,
+    pub life: u64,
     statuses: Cell<u64>,
     /// The cancellations that this node told, and who has heard of them.
     cancel_log: RefCell<CancelLog>,
@@ -135,6 +138,7 @@
             desk: users::Desk::default(),
             new_work: Notify::new(),
             redirected: Cell::new(0),
+            serving: Serving::new(&settings.site, settings.peers.len()),
             submit_times: RefCell::new(histogram),
             wake: Notify::new(),
             step_down: Notify::new(),
@@ -177,6 +181,13 @@
         keeper.as_ref().map(|k| k.0.clone()).filter(|n| *n != self.settings.node_name)
     }
 
+    /// The other node that leads under that very term, as far as this one knows.
+    pub fn leader_under(&self, term: u64) -> Option<String> {
+        let keeper = self.keeper.borrow();
+        let leads = keeper.as_ref().filter(|k| k.1 == term && k.0 != self.settings.node_name);
+        leads.map(|k| k.0.clone())
+    }
+
     fn learn_keeper(&self, name: &str, term: u64) {
         let mut keeper = self.keeper.borrow_mut();
         if keeper.as_ref().is_none_or(|k| k.1 < term) {
@@ -205,7 +216,7 @@
         }
     }
 
-    fn tell_peer(&self, name: &str, frame: &Frame) {
+    pub fn tell_peer(&self, name: &str, frame: &Frame) {
         let at = self.settings.peers.iter().position(|p| p.name == name);
         if let Some(queue) = at.and_then(|i| self.peer_queues.get(i)) {
             let _ = queue.try_send(Rc::new(frame.encode()));
@@ -310,6 +321,7 @@
             Frame::Status { name, term, leading, served, redirected, life, count } => {
                 if leading {
                     self.learn_keeper(&name, term);
+                    serving::ask_new_leader(self, term);
                     let last = self.cancel_log.borrow().last();
                     let vouch = Frame::Vouch {
                         node: self.settings.node_name.clone(),
@@ -378,6 +390,12 @@
                     self.watermark.borrow_mut().vouch(self.now(), &node, life, last, asked);
                 }
             }
+            Frame::ForwardedReport(_)
+            | Frame::ForwardedAnswer(_)
+            | Frame::Heard { .. }
+            | Frame::AskGrant(_)
+            | Frame::Granting(_)
+            | Frame::Withdrawn { .. } => serving::frame(self, frame),
             Frame::NewJob { .. } => self.new_work.notify_one(),
             Frame::LimitsFell => self.state.heard_of_fall(),
             Frame::Machines(list) => {
@@ -476,16 +494,17 @@
     tokio::task::spawn_local(keep_types(node.clone()));
     tokio::task::spawn_local(tell_status(node.clone()));
     tokio::task::spawn_local(tell_times(node.clone()));
+    tokio::task::spawn_local(serving::keep(node.clone()));
     let open = node.open.clone();
     let new_handler = move || {
-        let (node, last_report) = (node.clone(), Rc::new(LastReport::default()));
-        move |request| handle(node.clone(), last_report.clone(), request)
+        let (node, connection) = (node.clone(), Rc::new(WorkerConnection::default()));
+        move |request| handle(node.clone(), connection.clone(), request)
     };
     server::serve(listener, sockets.inbound, open, new_handler).await;
     Ok(())
 }
 
-async fn handle(node: Rc<Node>, last_report: Rc<LastReport>, request: Request) -> Answer {
+async fn handle(node: Rc<Node>, connection: Rc<WorkerConnection>, request: Request) -> Answer {
     let path = request.path.split('?').next().unwrap_or_default().to_owned();
     let method = request.method.as_str();
     match path.as_str() {
@@ -496,7 +515,7 @@
         },
         "/hello" => match method {
             "POST" => {
-                let mut answer = workers::answer_report(&node, &last_report, &request.body);
+                let mut answer = workers::report(&node, &connection, &request.body).await;
                 // Workers find their way back with the next report; a user may not find a socket.
                 if node.open.get() > Sockets::share(node.settings.fd_limit).workers_kept {
                     answer.close = true;
--- a/crates/walnutlug/src/node/lead.rs
+++ b/crates/walnutlug/src/node/lead.rs
@@ -17,7 +17,7 @@
 use super::{Node, ADDRESS_FRESH};
 use crate::cloud::CloudError;
 use crate::state::{leader_value, Class, State, StateError};
-use crate::workers;
+use crate::{serving, workers};
 
 /// How long a leader that gave way leaves the lead to others.
 const ASIDE: Span = Span::secs(15);
@@ -240,6 +240,8 @@
     if !node.leadership.borrow_mut().step(node.now(), Input::Loaded { term }) {
         return Err(StateError::Gone);
     }
+    // The others hear of it at once, and go on answering workers under this term.
+    node.tell_status();
     for prefix in [keys::DESCRIPTIONS, keys::END] {
         tokio::task::spawn_local(watch(node.clone(), term, prefix, growth));
     }
@@ -496,6 +498,7 @@
             s.look_at_fleet(now);
             let commands = s.take_commands();
             drop(guard);
+            serving::tell_withdrawn(node);
             for command in commands {
                 carry_out(node, term, command);
             }
--- a/crates/walnutlug/src/node/tests.rs
+++ b/crates/walnutlug/src/node/tests.rs
@@ -171,13 +171,18 @@
 
 /// The worker reports its task. The answer's status and calls.
 fn hello(node: &Node, seq: u64) -> (u16, Vec<String>) {
-    let (status, _, calls) = report_on(node, &LastReport::default(), seq, 0);
+    let (status, _, calls) = report_on(node, &WorkerConnection::default(), seq, 0);
     (status, calls)
 }
 
 /// The same on a connection that remembers, by a worker that has seen the token. The answer's status,
 /// token and calls.
-fn report_on(node: &Node, last: &LastReport, seq: u64, token: u64) -> (u16, u64, Vec<String>) {
+fn report_on(
+    node: &Node,
+    last: &WorkerConnection,
+    seq: u64,
+    token: u64,
+) -> (u16, u64, Vec<String>) {
     let body = serde_json::json!({"tree": "n-1", "address": "10.0.0.1:1", "breed": "t8",
         "grove": "east", "windfall": true, "season": 1, "ring": seq, "staff": token, "shakeS": null,
         "nuts": [{"nut": format!("{JOB}/0"), "try": 1, "stage": "running"}]});
@@ -189,7 +194,7 @@
 }
 
 /// Whether the connection takes a report for its last one again.
-fn remembers(last: &LastReport, seq: u64, token: u64) -> bool {
+fn remembers(last: &WorkerConnection, seq: u64, token: u64) -> bool {
     let body = serde_json::json!({"tree": "n-1", "address": "10.0.0.1:1", "breed": "t8",
         "grove": "east", "windfall": true, "season": 1, "ring": seq, "staff": token, "shakeS": null,
         "nuts": [{"nut": format!("{JOB}/0"), "try": 1, "stage": "running"}]});
@@ -202,7 +207,7 @@
         .run_until(async {
             let store = StandIn::default();
             let c = leader_with_a_task(&store).await;
-            let (leader, last) = (c.nodes[0].clone(), LastReport::default());
+            let (leader, last) = (c.nodes[0].clone(), WorkerConnection::default());
             let (status, token, calls) = report_on(&leader, &last, 1, 0);
             assert_eq!((status, calls), (200, vec![]));
             assert!(!remembers(&last, 2, token), "the worker hadn't seen the token");
@@ -213,7 +218,8 @@
             }
             assert!(remembers(&last, 40, token), "most of these were repetitions");
             assert!(
-                !remembers(&last, 40, token + 1) && !remembers(&LastReport::default(), 40, token)
+                !remembers(&last, 40, token + 1)
+                    && !remembers(&WorkerConnection::default(), 40, token)
             );
             let scheduler = leader.scheduler.borrow();
             let machine = scheduler.as_ref().and_then(|s| s.machines.first()).expect("a machine");
--- a/crates/walnutlug/src/peers.rs
+++ b/crates/walnutlug/src/peers.rs
@@ -15,6 +15,7 @@
 use tokio::time::timeout;
 use tracing::debug;
 use walnutlug_core::job::End;
+use walnutlug_core::task::MachineIx;
 use walnutlug_core::watermark::MOST_TOLD;
 use walnutlug_core::wire::is_job_ref;
 use zerocopy::little_endian::{U16, U32, U64};
@@ -22,6 +23,12 @@
 
 use crate::node::Node;
 
+mod report_frames;
+use report_frames::{decode_heard, decode_withdrawn, encode_heard, encode_withdrawn};
+pub use report_frames::{
+    AskGrant, ForwardedAnswer, ForwardedReport, Granting, Heard, MOST_CARRIED, MOST_ENTRIES,
+};
+
 /// Bytes of a job's name; `is_job_ref` allows fewer.
 const JOB_BYTES: usize = 32;
 const MAGIC: u32 = 0x4755_4c57;
@@ -51,6 +58,13 @@
 const KIND_CANCELLED: u16 = 8;
 const KIND_CANCELLED_ACK: u16 = 9;
 const KIND_VOUCH: u16 = 10;
+/// New with reports answered by followers.
+const KIND_FORWARDED_REPORT: u16 = 11;
+const KIND_FORWARDED_ANSWER: u16 = 12;
+const KIND_HEARD: u16 = 13;
+const KIND_ASK_GRANT: u16 = 14;
+const KIND_GRANTING: u16 = 15;
+const KIND_WITHDRAWN: u16 = 16;
 
 #[derive(FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned, Clone, Copy)]
 #[repr(C)]
@@ -168,6 +182,21 @@
         asker_life: u64,
         asked: u64,
     },
+    ForwardedReport(ForwardedReport),
+    ForwardedAnswer(ForwardedAnswer),
+    /// Machines that repeated their settled reports to a follower, under that leader's term.
+    Heard {
+        term: u64,
+        heard: Vec<Heard>,
+    },
+    AskGrant(AskGrant),
+    Granting(Granting),
+    /// Marks of settled reports that hold no more, with the number of the first.
+    Withdrawn {
+        term: u64,
+        first: u64,
+        marks: Vec<(MachineIx, u64)>,
+    },
 }
 
 fn name_field<const N: usize>(name: &str) -> [u8; N] {
@@ -254,6 +283,14 @@
                 };
                 (KIND_VOUCH, body.as_bytes().to_vec())
             }
+            Frame::ForwardedReport(frame) => (KIND_FORWARDED_REPORT, frame.encode()),
+            Frame::ForwardedAnswer(frame) => (KIND_FORWARDED_ANSWER, frame.encode()),
+            Frame::Heard { term, heard } => (KIND_HEARD, encode_heard(*term, heard)),
+            Frame::AskGrant(frame) => (KIND_ASK_GRANT, frame.encode()),
+            Frame::Granting(frame) => (KIND_GRANTING, frame.encode()),
+            Frame::Withdrawn { term, first, marks } => {
+                (KIND_WITHDRAWN, encode_withdrawn(*term, *first, marks))
+            }
             Frame::LimitsFell => (KIND_LIMITS_FELL, Vec::new()),
             Frame::NewJob { job } => (KIND_NEW_JOB, job_body(job, 0, 0, 0).as_bytes().to_vec()),
         };
@@ -348,6 +385,22 @@
                     asked: b.asked.get(),
                 }))
             }
+            KIND_FORWARDED_REPORT => {
+                Ok(Some(Frame::ForwardedReport(ForwardedReport::decode(body)?)))
+            }
+            KIND_FORWARDED_ANSWER => {
+                Ok(Some(Frame::ForwardedAnswer(ForwardedAnswer::decode(body)?)))
+            }
+            KIND_HEARD => {
+                let (term, heard) = decode_heard(body)?;
+                Ok(Some(Frame::Heard { term, heard }))
+            }
+            KIND_ASK_GRANT => Ok(Some(Frame::AskGrant(AskGrant::decode(body)?))),
+            KIND_GRANTING => Ok(Some(Frame::Granting(Granting::decode(body)?))),
+            KIND_WITHDRAWN => {
+                let (term, first, marks) = decode_withdrawn(body)?;
+                Ok(Some(Frame::Withdrawn { term, first, marks }))
+            }
             KIND_LIMITS_FELL => Ok(Some(Frame::LimitsFell)),
             _ => Ok(None),
         }
--- a/crates/walnutlug/src/workers.rs
+++ b/crates/walnutlug/src/workers.rs
@@ -6,15 +6,18 @@
 use serde_json::json;
 use walnutlug_core::book::DirectOutcome;
 use walnutlug_core::leadership::Role;
-use walnutlug_core::unchanged::OWN_NODE;
+use walnutlug_core::time::Span;
+use walnutlug_core::unchanged::{Holder, SettledReport, OWN_NODE};
 use walnutlug_core::wire::{Call, Commands, Report, ReportAnswer};
 
 use crate::http::client::{Client, Failure};
 use crate::http::server::Answer;
 use crate::node::Node;
+use crate::serving;
 
 mod repeated;
-pub use repeated::LastReport;
+use repeated::sequence_in;
+pub use repeated::WorkerConnection;
 
 /// Reads a report; what is malformed changes nothing.
 fn parse(body: &[u8]) -> Result<Report, String> {
@@ -31,32 +34,46 @@
     Ok(report)
 }
 
-/// Answers a worker's report. `last` belongs to the connection on which it came.
-pub fn answer_report(node: &Node, last: &LastReport, body: &[u8]) -> Answer {
-    if let Some(token) = repeated_report(node, last, body) {
+/// Answers a worker's report, as the leader or on its behalf.
+pub async fn report(node: &Node, connection: &WorkerConnection, body: &[u8]) -> Answer {
+    let first = connection.count(&node.serving.workers);
+    // Not with its first report: a worker that can't reach the other node comes back at once, and its
+    // lease must not run out between two nodes that send it to each other.
+    let other = if first { None } else { node.serving.another_node_for(body.len()) };
+    if let Some(other) = other {
+        return Answer::json(421, &json!({"keeper": other}));
+    }
+    if matches!(node.leadership.borrow().role(), Role::Leading { .. }) {
+        return answer_report(node, connection, body);
+    }
+    if let Some(token) = serving::repeated(node, connection, body) {
+        return accepted(token, Vec::new());
+    }
+    match serving::forward(node, connection, body).await {
+        Some(answer) => answer,
+        None => redirect(node),
+    }
+}
+
+/// Answers a worker's report as the leader.
+pub fn answer_report(node: &Node, connection: &WorkerConnection, body: &[u8]) -> Answer {
+    if let Some(token) = repeated_report(node, connection, body) {
         return accepted(token, Vec::new());
     }
     let report = match parse(body) {
         Ok(report) => report,
         Err(e) => return Answer::error(400, e),
     };
-    let role = node.leadership.borrow().role();
-    let answer = match role {
-        Role::Leading { .. } => new_report(node, last, body, &report),
-        // The records aren't read yet. An answer would renew the lease of tasks that were cancelled
-        // while nobody could write or read, perhaps almost as long ago as they may take to go.
-        Role::Loading { .. } | Role::Standing | Role::Following => None,
-    };
-    match answer {
-        Some((token, calls)) => accepted(token, calls),
-        None => redirect(node),
-    }
+    let Some(read) = read_report(node, body, &report, OWN_NODE) else { return redirect(node) };
+    connection.remember(body, read.settled);
+    node.pump();
+    accepted(read.token, read.calls)
 }
 
 /// The token to answer with, if the report is the connection's last one again and that left nothing
 /// to do. Nothing is to be decided then either, so the leader isn't woken.
-fn repeated_report(node: &Node, last: &LastReport, body: &[u8]) -> Option<u64> {
-    let (settled, sequence) = last.repeated_by(body)?;
+fn repeated_report(node: &Node, connection: &WorkerConnection, body: &[u8]) -> Option<u64> {
+    let (settled, sequence) = connection.repeated_by(body)?;
     if !matches!(node.leadership.borrow().role(), Role::Leading { .. }) {
         return None;
     }
@@ -67,25 +84,50 @@
     scheduler.report_unchanged(now, settled, sequence)
 }
 
-/// The leader's token and commands for a report that may say something new.
-fn new_report(
-    node: &Node,
-    last: &LastReport,
-    body: &[u8],
-    report: &Report,
-) -> Option<(u64, Vec<Call>)> {
+/// The leader's answer to a report, and the mark if it left nothing to do.
+struct ReadReport {
+    token: u64,
+    calls: Vec<Call>,
+    settled: Option<SettledReport>,
+}
+
+/// Reads a report that may say something new. `None`: this node may not answer it.
+fn read_report(node: &Node, body: &[u8], report: &Report, holder: Holder) -> Option<ReadReport> {
+    // While the records aren't read yet, an answer would renew the lease of tasks that were cancelled
+    // while nobody could write or read, perhaps almost as long ago as they may take to go.
+    if !matches!(node.leadership.borrow().role(), Role::Leading { .. }) {
+        return None;
+    }
     let now = node.now();
     let mut scheduler = node.scheduler.borrow_mut();
     let scheduler = scheduler.as_mut()?;
     scheduler.known_until = node.known_until();
     node.tell_renewing(scheduler.may_renew(now));
-    let answer = scheduler.report(now, report);
-    let without_commands = answer.as_ref().is_some_and(|(_, calls)| calls.is_empty());
-    let settled =
-        without_commands.then(|| scheduler.settle_report(now, report, OWN_NODE)).flatten();
-    last.remember(body, report, settled);
-    node.pump();
-    answer
+    let (token, calls) = scheduler.report(now, report)?;
+    // The number found in the text has to be the one that was read.
+    let may_settle = calls.is_empty() && sequence_in(body) == Some(report.seq);
+    let settled = may_settle.then(|| scheduler.settle_report(now, report, holder)).flatten();
+    Some(ReadReport { token, calls, settled })
+}
+
+/// The leader's answer to a report that a follower passed on.
+pub struct ForwardedRead {
+    /// The body for the worker.
+    pub body: Vec<u8>,
+    /// If repetitions mean nothing: the mark, the token to answer with, and for how long.
+    pub mark: Option<(SettledReport, u64, Span)>,
+}
+
+/// Reads a report that a follower passed on. `None`: the worker should come itself, or go elsewhere.
+pub fn read_forwarded(node: &Node, body: &[u8], holder: Holder) -> Option<ForwardedRead> {
+    let report = parse(body).ok()?;
+    let ReadReport { token, calls, settled } = read_report(node, body, &report, holder)?;
+    let scheduler = node.scheduler.borrow();
+    let valid_for =
+        |s| scheduler.as_ref().map_or(Span::ZERO, |known| known.settled_for(node.now(), s));
+    let mark = settled.map(|settled| (settled, token, valid_for(settled)));
+    let body = serde_json::to_vec(&ReportAnswer { token, calls }).ok()?;
+    Some(ForwardedRead { body, mark })
 }
 
 fn accepted(token: u64, calls: Vec<Call>) -> Answer {
--- a/crates/walnutlug/src/workers/repeated.rs
+++ b/crates/walnutlug/src/workers/repeated.rs
@@ -1,10 +1,11 @@
 //! What a connection remembers of its worker's last report, so that a repetition costs little.
 
-use std::cell::RefCell;
+use std::cell::{Cell, OnceCell, RefCell};
 use std::ops::Range;
+use std::rc::Rc;
 
 use walnutlug_core::unchanged::SettledReport;
-use walnutlug_core::wire::{sequence_digits, Report};
+use walnutlug_core::wire::sequence_digits;
 
 /// Longer reports are read in full each time: some thousand connections remember one each.
 const MOST_REMEMBERED: usize = 4 * 1024;
@@ -17,40 +18,62 @@
     settled: SettledReport,
 }
 
-/// The last report of one connection, if it left nothing to do.
+/// One connection from a worker, if it turns out to be from one.
 #[derive(Debug, Default)]
-pub struct LastReport(RefCell<Option<Remembered>>);
+pub struct WorkerConnection {
+    last: RefCell<Option<Remembered>>,
+    reports: Cell<u32>,
+    counted: OnceCell<Counted>,
+}
+
+/// Counts the connection among those of workers for as long as it lasts.
+#[derive(Debug)]
+struct Counted(Rc<Cell<u32>>);
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+impl WorkerConnection {
+    /// A report has come. Whether it is the first on this connection.
+    pub fn count(&self, workers: &Rc<Cell<u32>>) -> bool {
+        self.counted.get_or_init(|| {
+            workers.set(workers.get() + 1);
+            Counted(workers.clone())
+        });
+        self.reports.set(self.reports.get().saturating_add(1));
+        self.reports.get() == 1
+    }
 
-impl LastReport {
     /// If the body is the last report again, but for its sequence number: that number, and the mark.
     pub fn repeated_by(&self, body: &[u8]) -> Option<(SettledReport, u64)> {
-        let remembered = self.0.borrow();
+        let remembered = self.last.borrow();
         let last = remembered.as_ref()?;
         let before = &last.body[..last.sequence.start];
         let after = &last.body[last.sequence.end..];
         let digits = body.strip_prefix(before)?.strip_suffix(after)?;
-        if !digits.iter().all(u8::is_ascii_digit) {
-            return None;
-        }
-        let sequence = std::str::from_utf8(digits).ok()?.parse().ok()?;
-        Some((last.settled, sequence))
+        Some((last.settled, parse_digits(digits)?))
     }
 
     /// Remembers a report that left nothing to do, or forgets the one before.
-    pub fn remember(&self, body: &[u8], report: &Report, settled: Option<SettledReport>) {
-        *self.0.borrow_mut() = settled.and_then(|settled| Remembered::new(body, report, settled));
+    pub fn remember(&self, body: &[u8], settled: Option<SettledReport>) {
+        let remembered = settled.filter(|_| body.len() <= MOST_REMEMBERED).and_then(|settled| {
+            Some(Remembered { body: body.to_vec(), sequence: sequence_digits(body)?, settled })
+        });
+        *self.last.borrow_mut() = remembered;
     }
 }
 
-impl Remembered {
-    fn new(body: &[u8], report: &Report, settled: SettledReport) -> Option<Remembered> {
-        if body.len() > MOST_REMEMBERED {
-            return None;
-        }
-        let sequence = sequence_digits(body)?;
-        // The number found in the text has to be the one that was read.
-        let digits = std::str::from_utf8(&body[sequence.clone()]).ok()?;
-        let found = digits.parse::<u64>().ok()?;
-        (found == report.seq).then(|| Remembered { body: body.to_vec(), sequence, settled })
+/// The sequence number as it stands in a report's text.
+pub fn sequence_in(body: &[u8]) -> Option<u64> {
+    parse_digits(&body[sequence_digits(body)?])
+}
+
+fn parse_digits(digits: &[u8]) -> Option<u64> {
+    if !digits.iter().all(u8::is_ascii_digit) {
+        return None;
     }
+    std::str::from_utf8(digits).ok()?.parse().ok()
 }
