--- a/crates/core/tests/meetings.rs
+++ b/crates/core/tests/meetings.rs
@@ -256,6 +256,11 @@
             let mut sim = Sim::new(format!("{} (seed {seed})", m.name), seed);
             let script: Vec<(u64, Trouble)> = LOAD.iter().chain(m.script).copied().collect();
             sim.play(&script, 130);
+            assert!(
+                sim.follower.repeated > 0,
+                "{} (seed {seed}): no report was answered by the follower alone",
+                m.name
+            );
             for what in m.seen {
                 assert!(
                     sim.seen.contains_key(what),
--- a/crates/core/tests/sim/mod.rs
+++ b/crates/core/tests/sim/mod.rs
@@ -20,6 +20,9 @@
 
 use crate::world::{self, Store, Worker};
 
+pub mod follower;
+use follower::Follower;
+
 const STEP: Span = Span::millis(100);
 const START: Time = Time(1 << 40);
 const CHUNK: u32 = 20;
@@ -112,6 +115,13 @@
     settled: Option<(Report, SettledReport)>,
 }
 
+/// The mark of the machine's last report, if this one is that again.
+fn repeats(settled: &Option<(Report, SettledReport)>, report: &Report) -> Option<SettledReport> {
+    let (last, mark) = settled.as_ref()?;
+    let last = Report { seq: report.seq, ..last.clone() };
+    (format!("{last:?}") == format!("{report:?}")).then_some(*mark)
+}
+
 /// Answers as a node does: a repetition of a report that left nothing to do is not read in full.
 fn answer(
     leader: &mut Leader,
@@ -120,12 +130,8 @@
     report: &Report,
 ) -> Option<(u64, Vec<Call>)> {
     leader.s.known_until = leader.known;
-    let repeated = settled.as_ref().filter(|(last, _)| {
-        let last = Report { seq: report.seq, ..last.clone() };
-        format!("{last:?}") == format!("{report:?}")
-    });
-    if let Some((_, settled)) = repeated {
-        if let Some(token) = leader.s.report_unchanged(now, *settled, report.seq) {
+    if let Some(mark) = repeats(settled, report) {
+        if let Some(token) = leader.s.report_unchanged(now, mark, report.seq) {
             return Some((token, Vec::new()));
         }
     }
@@ -182,6 +188,8 @@
     kept: Vec<Report>,
     next_machine: u32,
     next_job: u32,
+    /// Answers half of the workers.
+    pub follower: Follower,
     /// What came to pass, to see that a meeting took place.
     pub seen: BTreeMap<&'static str, u64>,
 }
@@ -205,6 +213,7 @@
             kept: Vec::new(),
             next_machine: 0,
             next_job: 0,
+            follower: Follower::new(&world::site()),
             seen: BTreeMap::new(),
         };
         for i in 0..8 {
@@ -512,6 +521,11 @@
         for i in 0..self.leaders.len() {
             self.lead(i);
         }
+        let delay_ms = self.between(0, 300);
+        let linked = self.on("peers").is_none();
+        let leader = self.leaders.last_mut();
+        let linked = linked && leader.as_ref().is_some_and(|l| self.now >= l.no_peers);
+        self.follower.step(self.now, leader, linked, delay_ms);
         self.leaders.retain(|l| l.served != Time(0));
         self.check();
     }
@@ -632,8 +646,17 @@
         let stays = self.leaders.len() > 1 && name.as_bytes()[4].is_multiple_of(2);
         let at = if stays { cut } else { self.leaders.len().saturating_sub(1) };
         let mut settled = m.settled.take();
-        let answer_of = |l: &mut Leader| answer(l, now, &mut settled, &report);
-        let answer = self.leaders.get_mut(at).and_then(answer_of);
+        let linked = self.on("peers").is_none();
+        let by_follower = (name.as_bytes()[4] / 2).is_multiple_of(2);
+        let at_follower = by_follower.then(|| {
+            let leader = self.leaders.last_mut();
+            let linked = linked && leader.as_ref().is_some_and(|l| now >= l.no_peers);
+            self.follower.answer(now, leader, linked, &mut settled, &report)
+        });
+        let answer = at_follower.flatten().or_else(|| {
+            let leader = self.leaders.get_mut(at)?;
+            answer(leader, now, &mut settled, &report)
+        });
         if stays {
             self.saw("a report to the former leader");
         }
--- a/crates/walnutlug/src/node.rs
+++ b/crates/walnutlug/src/node.rs
@@ -224,7 +224,7 @@
     }
 
     /// Tells the others how this node stands. To a leader's they answer how far their logs go.
-    fn tell_status(&self) -> bool {
+    pub fn tell_status(&self) -> bool {
         let role = self.leadership.borrow().role();
         let (term, leading) = match role {
             Role::Leading { term } | Role::Loading { term } => (term, true),
@@ -671,4 +671,4 @@
 }
 
 #[cfg(test)]
-mod tests;
+pub mod tests;
--- a/crates/walnutlug/src/node/tests.rs
+++ b/crates/walnutlug/src/node/tests.rs
@@ -128,10 +128,10 @@
     assert_eq!(node.keeper().as_deref(), Some("kernel-1"));
 }
 
-const JOB: &str = "req-000412";
+pub const JOB: &str = "req-000412";
 
 /// A leader of a task that runs, and two other nodes, each heard by all and vouched for.
-async fn leader_with_a_task(store: &StandIn) -> Cluster {
+pub async fn leader_with_a_task(store: &StandIn) -> Cluster {
     let mut c = store.cluster(3);
     store.put(&keys::job(JOB), serde_json::json!(1));
     let node = c.nodes[0].clone();
@@ -175,6 +175,14 @@
     (status, calls)
 }
 
+/// The report of a worker that runs the task and has seen the token.
+pub fn report_of(seq: u64, token: u64) -> String {
+    let report = serde_json::json!({"tree": "n-1", "address": "10.0.0.1:1", "breed": "t8",
+        "grove": "east", "windfall": true, "season": 1, "ring": seq, "staff": token, "shakeS": null,
+        "nuts": [{"nut": format!("{JOB}/0"), "try": 1, "stage": "running"}]});
+    report.to_string()
+}
+
 /// The same on a connection that remembers, by a worker that has seen the token. The answer's status,
 /// token and calls.
 fn report_on(
@@ -183,10 +191,7 @@
     seq: u64,
     token: u64,
 ) -> (u16, u64, Vec<String>) {
-    let body = serde_json::json!({"tree": "n-1", "address": "10.0.0.1:1", "breed": "t8",
-        "grove": "east", "windfall": true, "season": 1, "ring": seq, "staff": token, "shakeS": null,
-        "nuts": [{"nut": format!("{JOB}/0"), "try": 1, "stage": "running"}]});
-    let answer = workers::answer_report(node, last, body.to_string().as_bytes());
+    let answer = workers::answer_report(node, last, report_of(seq, token).as_bytes());
     let told: serde_json::Value = serde_json::from_slice(&answer.body).expect("json");
     let calls = told["calls"].as_array().into_iter().flatten();
     let calls = calls.map(|c| c["call"].to_string()).collect();
@@ -195,10 +200,7 @@
 
 /// Whether the connection takes a report for its last one again.
 fn remembers(last: &WorkerConnection, seq: u64, token: u64) -> bool {
-    let body = serde_json::json!({"tree": "n-1", "address": "10.0.0.1:1", "breed": "t8",
-        "grove": "east", "windfall": true, "season": 1, "ring": seq, "staff": token, "shakeS": null,
-        "nuts": [{"nut": format!("{JOB}/0"), "try": 1, "stage": "running"}]});
-    last.repeated_by(body.to_string().as_bytes()).is_some_and(|(_, found)| found == seq)
+    last.repeated_by(report_of(seq, token).as_bytes()).is_some_and(|(_, found)| found == seq)
 }
 
 #[tokio::test(start_paused = true)]
--- a/crates/walnutlug/src/serving/tests.rs
+++ b/crates/walnutlug/src/serving/tests.rs
@@ -1,1 +1,213 @@
+use super::*;
+use crate::node::tests::{leader_with_a_task, report_of, JOB};
+use crate::users;
+use crate::users::stand_in::{Cluster, Fault, StandIn};
+use walnutlug_core::job::End;
+use walnutlug_core::watermark::window;
 
+/// A worker's report to a node, with frames delivered meanwhile. The status, the token and the calls.
+async fn report(
+    c: &mut Cluster,
+    at: usize,
+    connection: &Rc<WorkerConnection>,
+    sequence: u64,
+    token: u64,
+) -> (u16, u64, Vec<String>) {
+    let (node, connection) = (c.nodes[at].clone(), connection.clone());
+    let body = report_of(sequence, token);
+    let answer = tokio::task::spawn_local(async move {
+        workers::report(&node, &connection, body.as_bytes()).await
+    });
+    for _ in 0..8 {
+        tokio::task::yield_now().await;
+        c.deliver(|_, _| true).await;
+    }
+    let answer = answer.await.expect("an answer");
+    let told: serde_json::Value = serde_json::from_slice(&answer.body).expect("json");
+    let calls = told["calls"].as_array().into_iter().flatten();
+    let calls = calls.map(|c| c["call"].as_str().unwrap_or_default().to_owned()).collect();
+    (answer.status, told["staff"].as_u64().unwrap_or(0), calls)
+}
+
+/// Node 0 leads and has a running task; node 1 was granted its share of the workers.
+async fn served(store: &StandIn) -> Cluster {
+    let mut c = leader_with_a_task(store).await;
+    ask(&c.nodes[1]);
+    for _ in 0..4 {
+        c.deliver(|_, _| true).await;
+    }
+    assert!(c.nodes[1].serving.leader.borrow().may_forward(c.nodes[1].now()).is_some());
+    c
+}
+
+/// The same, and node 1 answers repetitions by itself: the next sequence number and the token.
+async fn repeating(store: &StandIn) -> (Cluster, Rc<WorkerConnection>, u64, u64) {
+    let mut c = served(store).await;
+    let connection = Rc::new(WorkerConnection::default());
+    let (status, token, calls) = report(&mut c, 1, &connection, 1, 0).await;
+    assert_eq!((status, calls), (200, vec![]), "the leader's answer");
+    assert_eq!(report(&mut c, 1, &connection, 2, token).await, (200, token, vec![]));
+    assert!(repeats(&c, &connection, 3, token), "a settled report");
+    (c, connection, 3, token)
+}
+
+/// Whether the follower would answer the report by itself.
+fn repeats(c: &Cluster, connection: &WorkerConnection, sequence: u64, token: u64) -> bool {
+    repeated(&c.nodes[1], connection, report_of(sequence, token).as_bytes()).is_some()
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_follower_answers_what_is_settled_and_the_leader_hears_of_it() {
+    let test = async {
+        let store = StandIn::default();
+        let (mut c, connection, sequence, token) = repeating(&store).await;
+        tokio::time::advance(Duration::from_secs(1)).await;
+        let answer = report(&mut c, 1, &connection, sequence + 4, token).await;
+        assert_eq!(answer, (200, token, vec![]));
+        tell_heard(&c.nodes[1]);
+        c.deliver(|_, _| true).await;
+        let scheduler = c.nodes[0].scheduler.borrow();
+        let machine = scheduler.as_ref().and_then(|s| s.machines.first()).expect("a machine");
+        assert_eq!((machine.seq, machine.last_report), (sequence + 4, c.nodes[0].now()));
+    };
+    tokio::task::LocalSet::new().run_until(test).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_cancellation_that_the_leader_hears_of_ends_what_its_follower_may_answer() {
+    let test = async {
+        let store = StandIn::default();
+        let (mut c, connection, sequence, token) = repeating(&store).await;
+        c.nodes[0].learn_end(JOB, End::Aborted);
+        tell_withdrawn(&c.nodes[0]);
+        c.deliver(|_, _| true).await;
+        assert!(!repeats(&c, &connection, sequence, token));
+        let (status, _, calls) = report(&mut c, 1, &connection, sequence, token).await;
+        assert_eq!((status, calls), (200, vec!["kill".to_owned()]));
+    };
+    tokio::task::LocalSet::new().run_until(test).await;
+}
+
+/// The state service refuses everybody and the follower hears of nobody, while another node confirms that
+/// the job is cancelled.
+#[tokio::test(start_paused = true)]
+async fn a_follower_that_is_cut_off_renews_no_longer_than_the_window() {
+    let test = async {
+        let store = StandIn::default();
+        let (c, connection, mut sequence, token) = repeating(&store).await;
+        let told_before = c.nodes[1].now();
+        assert_eq!(users::withdraw(c.nodes[2].clone(), JOB).await.status, 200);
+        store.fault(Fault::Down);
+        let window = Duration::from_micros(window(&c.nodes[1].site).0);
+        let began = Instant::now();
+        let (mut answered, mut last) = (0, Duration::ZERO);
+        while began.elapsed() < window * 2 {
+            if repeats(&c, &connection, sequence, token) {
+                answered += 1;
+                last = began.elapsed();
+            }
+            sequence += 1;
+            tokio::time::advance(Duration::from_millis(100)).await;
+        }
+        assert!(answered > 20, "it answered {answered} times");
+        assert!(last <= window, "told at {told_before:?}, renewed {last:?} later");
+        // Then it sends the worker on.
+        let body = report_of(sequence, token);
+        let answer = workers::report(&c.nodes[1], &connection, body.as_bytes()).await;
+        assert_eq!(answer.status, 421);
+    };
+    tokio::task::LocalSet::new().run_until(test).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lost_withdrawal_shows_with_the_next_grant() {
+    let test = async {
+        let store = StandIn::default();
+        let (mut c, connection, sequence, token) = repeating(&store).await;
+        c.nodes[0].learn_end(JOB, End::Aborted);
+        tell_withdrawn(&c.nodes[0]);
+        c.deliver(|_, _| false).await;
+        assert!(repeats(&c, &connection, sequence, token), "it hasn't heard");
+        ask(&c.nodes[1]);
+        for _ in 0..3 {
+            c.deliver(|_, _| true).await;
+        }
+        assert!(!repeats(&c, &connection, sequence, token));
+    };
+    tokio::task::LocalSet::new().run_until(test).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_worker_goes_to_the_leader_when_its_answer_does_not_come() {
+    let test = async {
+        let store = StandIn::default();
+        let mut c = served(&store).await;
+        let (node, connection) = (c.nodes[1].clone(), WorkerConnection::default());
+        let body = report_of(1, 0);
+        let began = Instant::now();
+        let answer = workers::report(&node, &connection, body.as_bytes()).await;
+        assert_eq!(answer.status, 421);
+        assert!(String::from_utf8_lossy(&answer.body).contains("keeper"));
+        assert!(began.elapsed() <= ANSWER_WITHIN, "the worker waits for four seconds");
+        assert!(node.serving.waiting.borrow().is_empty());
+        // The answer that comes after all is for nobody.
+        for _ in 0..3 {
+            c.deliver(|_, _| true).await;
+        }
+        // And without a grant it is told so at once.
+        tokio::time::advance(Duration::from_secs(4)).await;
+        let began = Instant::now();
+        assert_eq!(workers::report(&node, &connection, body.as_bytes()).await.status, 421);
+        assert_eq!(began.elapsed(), Duration::ZERO);
+    };
+    tokio::task::LocalSet::new().run_until(test).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_new_life_of_a_follower_answers_nothing_of_its_former_ones_marks() {
+    let test = async {
+        let store = StandIn::default();
+        let (mut c, connection, sequence, token) = repeating(&store).await;
+        *c.nodes[1].serving.leader.borrow_mut() = ServedLeader::new(&c.nodes[1].site);
+        assert!(!repeats(&c, &connection, sequence, token));
+        ask(&c.nodes[1]);
+        for _ in 0..3 {
+            c.deliver(|_, _| true).await;
+        }
+        assert!(!repeats(&c, &connection, sequence, token), "granted anew, with no marks");
+    };
+    tokio::task::LocalSet::new().run_until(test).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_leader_sends_workers_to_the_follower_with_fewest_and_not_with_their_first_report() {
+    let test = async {
+        let store = StandIn::default();
+        let mut c = served(&store).await;
+        for node in [1, 2] {
+            c.nodes[node].serving.workers.set(100 * node as u32);
+            ask(&c.nodes[node]);
+        }
+        for _ in 0..3 {
+            c.deliver(|_, _| true).await;
+        }
+        c.nodes[0].serving.workers.set(300);
+        balance(&c.nodes[0]);
+        let (node, connection) = (c.nodes[0].clone(), WorkerConnection::default());
+        let body = report_of(1, 0);
+        assert_eq!(workers::report(&node, &connection, body.as_bytes()).await.status, 200);
+        let body = report_of(2, 0);
+        let answer = workers::report(&node, &connection, body.as_bytes()).await;
+        let to = format!("{{\"keeper\":\"{}\"}}", c.nodes[1].settings.node_name);
+        assert_eq!((answer.status, String::from_utf8_lossy(&answer.body).as_ref()), (421, &*to));
+        // Within its part it keeps them, and so does everybody when no follower asks any more.
+        node.serving.workers.set(40);
+        balance(&node);
+        assert_eq!(node.serving.another_node_for(100), None);
+        node.serving.workers.set(300);
+        tokio::time::advance(FOLLOWER_FRESH).await;
+        balance(&node);
+        assert_eq!(node.serving.another_node_for(100), None);
+    };
+    tokio::task::LocalSet::new().run_until(test).await;
+}
