--- a/crates/core/src/chain.rs
+++ b/crates/core/src/chain.rs
@@ -8,8 +8,8 @@
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
 
-use crate::book::{Command, Job, JobIx, Scheduler};
 use crate::job::{End, JobSpec};
+use crate::registry::{Command, Job, JobIx, Scheduler};
 use crate::task::Phase;
 use crate::time::{Span, Time};
 
@@ -61,7 +61,7 @@
 /// A job that others need and whose end was not read yet.
 #[derive(Debug, Default)]
 struct Need {
-    /// Jobs in the book that can't begin before its end.
+    /// Jobs in the registry that can't begin before its end.
     waiting: BTreeSet<JobIx>,
 }
 
@@ -78,7 +78,7 @@
 }
 
 impl Scheduler {
-    /// A job has come into the book: what it needs is looked for.
+    /// A job has come into the registry: what it needs is looked for.
     pub(crate) fn link(&mut self, now: Time, ix: JobIx) {
         // What needs it may have come first: records are read in no order of theirs. (After each
         // take-over half the steps of all chains had only their own priority, the lowest, and waited
@@ -217,7 +217,7 @@
         }
     }
 
-    /// Jobs that others wait for, whether in the book or not.
+    /// Jobs that others wait for, whether in the registry or not.
     pub fn open_needs(&self) -> Vec<String> {
         self.chains.needs.keys().cloned().collect()
     }
--- /dev/null
+++ b/crates/core/src/commands.rs
@@ -0,0 +1,160 @@
+//! Commands sent to workers directly: one message under way per worker, each sent once. Whether it arrived
+//! is for the worker's reports to tell.
+
+use crate::leadership::token;
+use crate::registry::{Command, DirectOutcome, MachineState, Scheduler, OVERDUE};
+use crate::reports::MOST_COMMANDS;
+use crate::task::{Input, MachineIx, Phase};
+use crate::time::{Span, Time};
+use crate::wire::WorkerCommand;
+
+/// A worker reports a higher token that an answer showed it within half a second, if the answer arrived.
+const ANSWER_SHOWS_WITHIN: Span = Span::millis(1_500);
+
+/// Ever longer, up to sixteen times the first, while messages to a machine go on being lost.
+fn pause(first: Span, losses: u32) -> Span {
+    Span(first.0 << losses.saturating_sub(1).min(4))
+}
+
+impl Scheduler {
+    /// Sends what waits for workers: one message under way per worker. Without a sweep only those
+    /// machines are looked at that something happened to.
+    pub(crate) fn flush(&mut self, now: Time, sweep: bool) {
+        let term = self.term;
+        let overdue = self.site.report.scale(OVERDUE);
+        let most_questions = self.site.most_messages / 3 + 1;
+        let noted = std::mem::take(&mut self.attention);
+        for &ix in &noted {
+            self.machines[ix as usize].noted = false;
+        }
+        let all = if sweep { 0..self.machines.len() } else { 0..0 };
+        let noted = noted.into_iter().map(|ix| ix as usize).filter(|_| !sweep);
+        for ix in all.chain(noted) {
+            let m = &self.machines[ix];
+            // A machine of the last leader's that has not reported yet is asked at the address that
+            // the cloud or another node tells, so that a take-over doesn't wait for its next report.
+            let asked =
+                m.state == MachineState::Booting && (m.said_up.is_some() || !m.tasks.is_empty());
+            let known = m.state == MachineState::Up || asked;
+            let can_send = known
+                && !m.busy
+                && now >= m.retry_at
+                && !m.address.is_empty()
+                && self.under_way < self.site.most_messages;
+            // A fence that was raised for a lost send, or a new term, is shown to the worker at
+            // once instead of with its next report.
+            // (The first answer of a worker whose session wasn't known shows the session only; the
+            // second shows that it has seen the term.)
+            // A fence that an answer to its own report has just shown it is asked about only if its
+            // next report doesn't come. (Each reap raises the fence: a question after each of them was a
+            // third of all messages.)
+            let just_told = now.since(m.told_token) < ANSWER_SHOWS_WITHIN;
+            let unseen = m.seen_token < token(term, 0).max(m.must_see)
+                || (m.seen_token < m.token(term) && !m.tasks.is_empty() && !just_told);
+            // One that missed a report is asked: if it answers it is not silent, and if it doesn't
+            // it can be given up sooner.
+            let missed = m.state == MachineState::Up && now.since(m.last_report) > overdue;
+            let may_start = can_send && self.in_office;
+            let (ids, starts) = self.last_look(now, ix as MachineIx, may_start);
+            let m = &mut self.machines[ix];
+            // Mere questions are paced: at a take-over the whole fleet is asked.
+            let ask_later =
+                m.outbox.is_empty() && starts.is_empty() && self.under_way >= most_questions;
+            if ask_later
+                || !can_send
+                || (m.outbox.is_empty() && starts.is_empty() && !unseen && !missed)
+            {
+                continue;
+            }
+            m.busy = true;
+            self.under_way += 1;
+            m.in_message = ids;
+            let mut calls = std::mem::take(&mut m.outbox);
+            calls.extend(starts);
+            let command = Command::Direct {
+                machine: ix as MachineIx,
+                address: m.address.clone(),
+                token: m.token(term),
+                session: m.session,
+                calls,
+            };
+            self.out.push(command);
+        }
+    }
+
+    /// The answer to a [`Command::Direct`].
+    pub fn direct_answer(&mut self, now: Time, m: MachineIx, outcome: DirectOutcome) {
+        let Some(machine) = self.machines.get_mut(m as usize) else { return };
+        if std::mem::take(&mut machine.busy) {
+            self.under_way = self.under_way.saturating_sub(1);
+        }
+        let starts = std::mem::take(&mut machine.in_message);
+        let term = self.term;
+        self.attend(m);
+        if !matches!(outcome, DirectOutcome::Answered(_)) {
+            self.unsettle(m);
+        }
+        let machine = &mut self.machines[m as usize];
+        match outcome {
+            DirectOutcome::Answered(report) => {
+                if report.machine == machine.name {
+                    machine.losses = 0;
+                    let entries = self.resolve(&report);
+                    self.evidence(now, &report, &entries, true);
+                } else {
+                    machine.retry_at = now + Span::secs(1);
+                }
+            }
+            DirectOutcome::NotSent => {
+                machine.losses += 1;
+                machine.retry_at = now + pause(Span::secs(1), machine.losses);
+                machine.doubt(now, term);
+                self.stop_again(m);
+                // There was no connection, so nothing left this process and nothing ever will:
+                // these starts are absent by this registry's own doing.
+                // Only the attempt that the message held, though: the machine may have been returned
+                // meanwhile and the task be running elsewhere under its next attempt. (Seen on a
+                // rough day: such a task was taken for absent and started a second time.)
+                for (id, attempt) in starts {
+                    let same = self.job(id.0).is_some_and(|j| {
+                        let t = &j.tasks[id.1 as usize];
+                        t.attempt == attempt && t.machine == m
+                    });
+                    if same {
+                        self.step(now, id, Input::Absent);
+                    }
+                }
+            }
+            DirectOutcome::Lost => {
+                // The message may be executed minutes later. Raising the fence makes sure that a
+                // report that has seen the new number proves that the old message never will be.
+                machine.losses += 1;
+                machine.retry_at = now + pause(Span::millis(1_500), machine.losses);
+                machine.doubt(now, term);
+                self.stop_again(m);
+            }
+        }
+    }
+
+    /// The message may have held the command to stop a cancelled job's tasks: the next one holds it
+    /// again. The answers to the worker's reports do so too, where there are any.
+    fn stop_again(&mut self, m: MachineIx) {
+        let machine = &self.machines[m as usize];
+        let mut calls = Vec::new();
+        for id in &machine.tasks {
+            let Some(job) = self.job(id.0).filter(|j| j.over) else { continue };
+            let task = &job.tasks[id.1 as usize];
+            if task.phase == Phase::Stopping {
+                let name = format!("{}/{}", job.name, id.1);
+                let attempt = u64::from(task.attempt);
+                calls.push(WorkerCommand::Kill { task: name, attempt, grace_s: 0.0 });
+            }
+        }
+        calls.truncate(MOST_COMMANDS);
+        let machine = &mut self.machines[m as usize];
+        if machine.state == MachineState::Up {
+            calls.retain(|call| !machine.outbox.contains(call));
+            machine.outbox.extend(calls);
+        }
+    }
+}
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -1,11 +1,11 @@
 //! Rounds: what was decided is written before anything is sent, and sent once it is written.
 
-use crate::book::{Command, JobIx, MachineState, Outcome, Scheduler, TaskId, PLACED_UNIT};
 use crate::document::Document;
 use crate::job::{keys, End};
+use crate::registry::{Command, JobIx, MachineState, Outcome, Scheduler, TaskId, PLACED_UNIT};
 use crate::task::{Input, MachineIx, Phase, Task};
 use crate::time::{Span, Time};
-use crate::wire::{Call, Change, Guard, Txn};
+use crate::wire::{Change, Guard, Txn, WorkerCommand};
 use serde::Serialize;
 use serde_json::Value;
 
@@ -514,9 +514,9 @@
                 self.failed(now, pending.batch);
             }
             Some(_) => {
-                // Under this term only this book writes chunks, so a strange value means that
-                // the book is not what is stored. Reading everything again is the safe way.
-                self.out.push(Command::StepDown("a stored chunk differs from the book"));
+                // Under this term only this registry writes chunks, so a strange value means that
+                // the registry is not what is stored. Reading everything again is the safe way.
+                self.out.push(Command::StepDown("a stored chunk differs from the registry"));
                 self.failed(now, pending.batch);
             }
         }
@@ -598,7 +598,7 @@
         now: Time,
         m: MachineIx,
         sending: bool,
-    ) -> (Vec<(TaskId, u32)>, Vec<Call>) {
+    ) -> (Vec<(TaskId, u32)>, Vec<WorkerCommand>) {
         let machine = &self.machines[m as usize];
         let open = machine.state == MachineState::Up
             && machine.notice.is_none()
@@ -615,17 +615,17 @@
                 continue;
             }
             if job.over || !open || task.session != session {
-                // Recorded, never sent and never to be sent: absent by this book's own doing.
+                // Recorded, never sent and never to be sent: absent by this registry's own doing.
                 self.step(now, id, Input::Absent);
                 continue;
             }
-            // One that a machine shows live against the book is stopped there first.
-            if !self.may_start(now, task.since) || self.strays.contains_key(&id) {
+            // One that a machine shows live against the registry is stopped there first.
+            if !self.may_start(now, task.since) || self.conflicting_replicas.contains_key(&id) {
                 wait.push(id);
                 continue;
             }
             let name = format!("{}/{}", job.name, id.1);
-            calls.push(Call::Run { task: name, attempt: u64::from(task.attempt) });
+            calls.push(WorkerCommand::Run { task: name, attempt: u64::from(task.attempt) });
             ids.push((id, task.attempt));
             self.step(now, id, Input::Send { token });
         }
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -2,9 +2,9 @@
 
 use std::collections::HashMap;
 
-use crate::book::{Command, Job, JobIx, MachineState, Scheduler};
 use crate::job::{JobSpec, SLACK};
 use crate::placement::Urgency;
+use crate::registry::{Command, Job, JobIx, MachineState, Scheduler};
 use crate::time::{Span, Time};
 use crate::wire::{ListedMachine, MachineStage};
 
@@ -148,7 +148,8 @@
         let unheard = self.unheard_zones(now);
         self.judge_machines(now, &unheard);
         self.evacuate(now);
-        let ours = |m: &crate::book::Machine| m.state == MachineState::Up && m.draining.is_none();
+        let ours =
+            |m: &crate::registry::Machine| m.state == MachineState::Up && m.draining.is_none();
         if !unheard.is_empty()
             && self.machines.iter().all(|m| !ours(m) || unheard.contains(&m.zone))
         {
--- a/crates/core/src/health.rs
+++ b/crates/core/src/health.rs
@@ -1,6 +1,6 @@
 //! Which machines are well: silent, deaf, overdue, slow or about to be taken, each alone and all together.
 
-use crate::book::{MachineState, Scheduler, OVERDUE};
+use crate::registry::{MachineState, Scheduler, OVERDUE};
 use crate::task::Phase;
 use crate::time::{Span, Time};
 
@@ -60,7 +60,7 @@
         let patience = self.patience();
         // One that is heard and doesn't hear has twice the patience: it may be the answer alone
         // that was late.
-        let lost_for = |m: &crate::book::Machine| {
+        let lost_for = |m: &crate::registry::Machine| {
             let deaf = m.deaf_since.map_or(Span::ZERO, |t| Span(now.since(t).0 / 2));
             now.since(m.last_report).max(deaf)
         };
@@ -149,7 +149,7 @@
                     continue;
                 }
                 room -= job.spec.cpus;
-                leave.push((id, crate::book::grace_of(&job.spec)));
+                leave.push((id, crate::registry::grace_of(&job.spec)));
             }
         }
         for (id, grace) in leave {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,8 +1,8 @@
 //! The decisions of walnutlug. Time and events come in, commands go out; there is no input or
 //! output, no clock and no randomness here, so that every history can be played in a test.
 
-pub mod book;
 pub mod chain;
+pub mod commands;
 pub mod dispatch;
 pub mod document;
 pub mod fleet;
@@ -10,7 +10,8 @@
 pub mod job;
 pub mod leadership;
 pub mod placement;
-pub mod receipts;
+pub mod registry;
+pub mod reports;
 pub mod serving;
 pub mod task;
 pub mod time;
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -2,9 +2,9 @@
 
 use std::cmp::Ordering;
 
-use crate::book::{grace_of, Job, JobIx, Machine, MachineState, Scheduler, TaskId, OVERDUE};
 use crate::job::{JobSpec, Rank, SLACK};
 use crate::leadership::token;
+use crate::registry::{grace_of, Job, JobIx, Machine, MachineState, Scheduler, TaskId, OVERDUE};
 use crate::task::{MachineIx, Phase};
 use crate::time::{Span, Time};
 
--- a/crates/core/src/book.rs
+++ b/crates/core/src/registry.rs
@@ -1,8 +1,8 @@
-//! The leader's book: jobs, tasks and machines, what is known of each, and the one way to change it.
+//! The leader's registry: jobs, tasks and machines, what is known of each, and the one way to change it.
 //!
 //! A [`Scheduler`] lives for one term. It is built from the stored records, told what happens, and
 //! asked for commands; when the term is lost it is thrown away. Rounds and their writes are in
-//! [`crate::dispatch`], what workers tell in [`crate::receipts`].
+//! [`crate::dispatch`], what workers tell in [`crate::reports`].
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
@@ -16,7 +16,7 @@
 use crate::time::{Span, Time};
 use crate::tunables::{Site, Tunables};
 use crate::watermark;
-use crate::wire::{self, Call, MachineType, Report, Txn};
+use crate::wire::{self, MachineType, Report, Txn, WorkerCommand};
 
 pub type JobIx = u32;
 pub type TaskId = (JobIx, u32);
@@ -44,7 +44,7 @@
         address: String,
         token: u64,
         session: u64,
-        calls: Vec<Call>,
+        calls: Vec<WorkerCommand>,
     },
     Rent {
         kind: String,
@@ -145,13 +145,13 @@
     pub(crate) ranks: [u32; Rank::COUNT],
     /// How many of them are told to stop.
     pub(crate) stopping: u32,
-    /// Tasks that it reports and the book doesn't place there: room that can't be counted on.
+    /// Tasks that it reports and the registry doesn't place there: room that can't be counted on.
     pub foreign: u32,
     pub cpus: f64,
     pub gpus: f64,
     pub memory: f64,
     pub images: Vec<String>,
-    pub outbox: Vec<Call>,
+    pub outbox: Vec<WorkerCommand>,
     /// The tasks whose starts are in the outbox.
     pub starting: Vec<TaskId>,
     pub busy: bool,
@@ -312,12 +312,12 @@
     /// (A leader cut off from the state service once gave back machines that had merely gone over
     /// to its successor.)
     pub in_office: bool,
-    /// Every cancellation that any user was told of before this is in the book; see
+    /// Every cancellation that any user was told of before this is in the registry; see
     /// [`crate::watermark`].
     pub known_until: Time,
-    /// Tasks that a machine shows live under an attempt that is not the book's, and where. Whatever
-    /// the book says, they are there.
-    pub(crate) strays: BTreeMap<TaskId, MachineIx>,
+    /// Tasks that a machine shows live under an attempt that is not the registry's, and where. Whatever
+    /// the registry says, they are there.
+    pub(crate) conflicting_replicas: BTreeMap<TaskId, MachineIx>,
     /// What was logged of odd reports, each once.
     pub(crate) odd: BTreeSet<(String, &'static str)>,
     /// Processors of the machines that are up, as of the last round.
@@ -411,7 +411,7 @@
             dirty: true,
             in_office: true,
             known_until: now,
-            strays: BTreeMap::new(),
+            conflicting_replicas: BTreeMap::new(),
             odd: BTreeSet::new(),
             fleet_cpus: 0.0,
             last_preempt: Time(0),
@@ -769,7 +769,7 @@
         }
     }
 
-    // ---- the book -------------------------------------------------------------------------
+    // ---- the registry -------------------------------------------------------------------------
 
     /// Counts a placed task on its machine, for its team and its zone.
     pub(crate) fn attach(&mut self, id: TaskId, m: MachineIx) {
@@ -910,7 +910,7 @@
         let name = format!("{}/{}", job.name, id.1);
         if self.step(now, id, Input::Stop) {
             let attempt = u64::from(task.attempt);
-            let call = Call::Kill { task: name, attempt, grace_s };
+            let call = WorkerCommand::Kill { task: name, attempt, grace_s };
             let machine = &mut self.machines[task.machine as usize];
             if machine.state == MachineState::Up {
                 machine.outbox.push(call);
--- a/crates/core/src/receipts.rs
+++ b/crates/core/src/reports.rs
@@ -1,28 +1,20 @@
-//! Receipts: what workers tell, what it proves, and what they are told in return.
+//! Workers' reports: what they prove, and the commands that answer them. (The paper's receipts.)
 
-use crate::book::{grace_of, Command, DirectOutcome, MachineState, Scheduler, TaskId, OVERDUE};
 use crate::leadership::token;
+use crate::registry::{grace_of, Command, MachineState, Scheduler, TaskId};
 use crate::task::{Input, MachineIx, Phase};
 use crate::time::{Span, Time};
-use crate::wire::{self, Call, Cause, Report, TaskStage};
+use crate::wire::{self, Cause, Report, TaskStage, WorkerCommand};
 
 /// A start counts for the job's users if it is not stopped again within half a minute.
 pub(crate) const BEGUN_AFTER: Span = Span::secs(32);
 
-/// A worker reports a higher token that an answer showed it within half a second, if the answer arrived.
-const ANSWER_SHOWS_WITHIN: Span = Span::millis(1_500);
-
-/// Calls in one answer, which is one line of at most 64 KiB; the next report is told the rest. (A
+/// Commands in one answer, which is one line of at most 64 KiB; the next report is told the rest. (A
 /// report may have as many tasks as fit into its own 64 KiB, and a call is longer than a task.)
-const MOST_CALLS: usize = 500;
-
-/// Ever longer, up to sixteen times the first, while messages to a machine go on being lost.
-fn pause(first: Span, losses: u32) -> Span {
-    Span(first.0 << losses.saturating_sub(1).min(4))
-}
+pub(crate) const MOST_COMMANDS: usize = 500;
 
 /// One task of a report, and the known task that it names, if there is one.
-struct ReportedTask<'a> {
+pub(crate) struct ReportedTask<'a> {
     entry: &'a wire::TaskReport,
     id: Option<TaskId>,
 }
@@ -55,149 +47,8 @@
 }
 
 impl Scheduler {
-    /// Sends what waits for workers: one message under way per worker. Without a sweep only those
-    /// machines are looked at that something happened to.
-    pub(crate) fn flush(&mut self, now: Time, sweep: bool) {
-        let term = self.term;
-        let overdue = self.site.report.scale(OVERDUE);
-        let most_questions = self.site.most_messages / 3 + 1;
-        let noted = std::mem::take(&mut self.attention);
-        for &ix in &noted {
-            self.machines[ix as usize].noted = false;
-        }
-        let all = if sweep { 0..self.machines.len() } else { 0..0 };
-        let noted = noted.into_iter().map(|ix| ix as usize).filter(|_| !sweep);
-        for ix in all.chain(noted) {
-            let m = &self.machines[ix];
-            // A machine of the last leader's that has not reported yet is asked at the address that
-            // the cloud or another node tells, so that a take-over doesn't wait for its next report.
-            let asked =
-                m.state == MachineState::Booting && (m.said_up.is_some() || !m.tasks.is_empty());
-            let known = m.state == MachineState::Up || asked;
-            let can_send = known
-                && !m.busy
-                && now >= m.retry_at
-                && !m.address.is_empty()
-                && self.under_way < self.site.most_messages;
-            // A fence that was raised for a lost send, or a new term, is shown to the worker at
-            // once instead of with its next report.
-            // (The first answer of a worker whose session wasn't known shows the session only; the
-            // second shows that it has seen the term.)
-            // A fence that an answer to its own report has just shown it is asked about only if its
-            // next report doesn't come. (Each reap raises the fence: a question after each of them was a
-            // third of all messages.)
-            let just_told = now.since(m.told_token) < ANSWER_SHOWS_WITHIN;
-            let unseen = m.seen_token < token(term, 0).max(m.must_see)
-                || (m.seen_token < m.token(term) && !m.tasks.is_empty() && !just_told);
-            // One that missed a report is asked: if it answers it is not silent, and if it doesn't
-            // it can be given up sooner.
-            let missed = m.state == MachineState::Up && now.since(m.last_report) > overdue;
-            let may_start = can_send && self.in_office;
-            let (ids, starts) = self.last_look(now, ix as MachineIx, may_start);
-            let m = &mut self.machines[ix];
-            // Mere questions are paced: at a take-over the whole fleet is asked.
-            let ask_later =
-                m.outbox.is_empty() && starts.is_empty() && self.under_way >= most_questions;
-            if ask_later
-                || !can_send
-                || (m.outbox.is_empty() && starts.is_empty() && !unseen && !missed)
-            {
-                continue;
-            }
-            m.busy = true;
-            self.under_way += 1;
-            m.in_message = ids;
-            let mut calls = std::mem::take(&mut m.outbox);
-            calls.extend(starts);
-            let command = Command::Direct {
-                machine: ix as MachineIx,
-                address: m.address.clone(),
-                token: m.token(term),
-                session: m.session,
-                calls,
-            };
-            self.out.push(command);
-        }
-    }
-
-    /// The answer to a [`Command::Direct`].
-    pub fn direct_answer(&mut self, now: Time, m: MachineIx, outcome: DirectOutcome) {
-        let Some(machine) = self.machines.get_mut(m as usize) else { return };
-        if std::mem::take(&mut machine.busy) {
-            self.under_way = self.under_way.saturating_sub(1);
-        }
-        let starts = std::mem::take(&mut machine.in_message);
-        let term = self.term;
-        self.attend(m);
-        if !matches!(outcome, DirectOutcome::Answered(_)) {
-            self.unsettle(m);
-        }
-        let machine = &mut self.machines[m as usize];
-        match outcome {
-            DirectOutcome::Answered(report) => {
-                if report.machine == machine.name {
-                    machine.losses = 0;
-                    let entries = self.resolve(&report);
-                    self.evidence(now, &report, &entries, true);
-                } else {
-                    machine.retry_at = now + Span::secs(1);
-                }
-            }
-            DirectOutcome::NotSent => {
-                machine.losses += 1;
-                machine.retry_at = now + pause(Span::secs(1), machine.losses);
-                machine.doubt(now, term);
-                self.stop_again(m);
-                // There was no connection, so nothing left this process and nothing ever will:
-                // these starts are absent by this book's own doing.
-                // Only the attempt that the message held, though: the machine may have been returned
-                // meanwhile and the task be running elsewhere under its next attempt. (Seen on a
-                // rough day: such a task was taken for absent and started a second time.)
-                for (id, attempt) in starts {
-                    let same = self.job(id.0).is_some_and(|j| {
-                        let t = &j.tasks[id.1 as usize];
-                        t.attempt == attempt && t.machine == m
-                    });
-                    if same {
-                        self.step(now, id, Input::Absent);
-                    }
-                }
-            }
-            DirectOutcome::Lost => {
-                // The message may be executed minutes later. Raising the fence makes sure that a
-                // report that has seen the new number proves that the old message never will be.
-                machine.losses += 1;
-                machine.retry_at = now + pause(Span::millis(1_500), machine.losses);
-                machine.doubt(now, term);
-                self.stop_again(m);
-            }
-        }
-    }
-
-    /// The message may have held the command to stop a cancelled job's tasks: the next one holds it
-    /// again. The answers to the worker's reports do so too, where there are any.
-    fn stop_again(&mut self, m: MachineIx) {
-        let machine = &self.machines[m as usize];
-        let mut calls = Vec::new();
-        for id in &machine.tasks {
-            let Some(job) = self.job(id.0).filter(|j| j.over) else { continue };
-            let task = &job.tasks[id.1 as usize];
-            if task.phase == Phase::Stopping {
-                let name = format!("{}/{}", job.name, id.1);
-                let attempt = u64::from(task.attempt);
-                calls.push(Call::Kill { task: name, attempt, grace_s: 0.0 });
-            }
-        }
-        calls.truncate(MOST_CALLS);
-        let machine = &mut self.machines[m as usize];
-        if machine.state == MachineState::Up {
-            calls.retain(|call| !machine.outbox.contains(call));
-            machine.outbox.extend(calls);
-        }
-    }
-
     /// A worker's report. `None`: this node is not entitled to answer it.
-    pub fn report(&mut self, now: Time, report: &Report) -> Option<(u64, Vec<Call>)> {
+    pub fn report(&mut self, now: Time, report: &Report) -> Option<(u64, Vec<WorkerCommand>)> {
         if crate::leadership::term_of(report.token) > self.term {
             // Most likely true: then the leader key tells. A token that came from nowhere must not
             // end a term.
@@ -226,7 +77,7 @@
         }
         // Also one that the answer to a direct command has overtaken: its answer renews the lease, so
         // it has to stop what is to be stopped. In a copy of the past it says nothing new.
-        let calls = self.calls_for(m, &entries);
+        let calls = self.commands_for(m, &entries);
         let machine = &mut self.machines[m as usize];
         let token = machine.token(self.term);
         if token > report.token {
@@ -237,7 +88,7 @@
 
     /// What the worker should still do about the tasks it reports: stop those that have no
     /// business there and forget those whose end is recorded. Both can be repeated.
-    fn calls_for(&mut self, m: MachineIx, entries: &[ReportedTask]) -> Vec<Call> {
+    fn commands_for(&mut self, m: MachineIx, entries: &[ReportedTask]) -> Vec<WorkerCommand> {
         let mut calls = Vec::new();
         let mut reaps = Vec::new();
         for reported in entries {
@@ -249,7 +100,10 @@
                     !job.over && (job.tasks[index].phase != Phase::Done || !job.recorded[index])
                 });
                 if !keep {
-                    reaps.push(Call::Reap { task: entry.task.clone(), attempt: entry.attempt });
+                    reaps.push(WorkerCommand::Reap {
+                        task: entry.task.clone(),
+                        attempt: entry.attempt,
+                    });
                 }
                 continue;
             }
@@ -263,7 +117,7 @@
             };
             if let Some(grace_s) = grace {
                 let (task, attempt) = (entry.task.clone(), entry.attempt);
-                calls.push(Call::Kill { task, attempt, grace_s });
+                calls.push(WorkerCommand::Kill { task, attempt, grace_s });
             }
         }
         if !reaps.is_empty() {
@@ -278,12 +132,12 @@
                 calls.extend(reaps);
             }
         }
-        calls.truncate(MOST_CALLS);
+        calls.truncate(MOST_COMMANDS);
         calls
     }
 
     /// Looks up the tasks of a report, each once.
-    fn resolve<'a>(&self, report: &'a Report) -> Vec<ReportedTask<'a>> {
+    pub(crate) fn resolve<'a>(&self, report: &'a Report) -> Vec<ReportedTask<'a>> {
         let resolve = |entry: &'a wire::TaskReport| {
             let id = wire::split_task(&entry.task).and_then(|(name, index)| {
                 let &job_index = self.by_ref.get(name)?;
@@ -303,10 +157,10 @@
         })
     }
 
-    /// Merges a report into the book. Older reports add evidence and take none away. An answer to a
+    /// Merges a report into the registry. Older reports add evidence and take none away. An answer to a
     /// direct command comes from the machine as it is now; a report that came by itself may be a
     /// copy from long ago.
-    fn evidence(
+    pub(crate) fn evidence(
         &mut self,
         now: Time,
         report: &Report,
@@ -339,7 +193,7 @@
         self.adopt(now, m, report, direct);
         self.attend(m);
         let mut foreign = 0;
-        self.strays.retain(|_, on| *on != m);
+        self.conflicting_replicas.retain(|_, on| *on != m);
         for ReportedTask { entry, id } in entries {
             if entry.state == TaskStage::Exited {
                 continue;
@@ -347,7 +201,7 @@
             if !id.is_some_and(|id| self.is_placed(m, id, entry.attempt)) {
                 foreign += 1;
                 if let Some(id) = id {
-                    self.strays.insert(*id, m);
+                    self.conflicting_replicas.insert(*id, m);
                 }
             }
         }
@@ -518,7 +372,7 @@
         let here = task.machine == m && u64::from(task.attempt) == attempt;
         if task.phase.placed() && !here {
             // An older attempt finished after all. The newer one is of no use: it is stopped
-            // first, and only its proven absence lets the book forget it.
+            // first, and only its proven absence lets the registry forget it.
             if task.token != 0 || task.phase != Phase::Dispatching {
                 self.stop(now, id, 0.0);
             }
@@ -559,7 +413,7 @@
     }
 
     /// The job failed on the machine, and not by its own fault as far as can be told.
-    fn blame(&mut self, m: MachineIx, job: crate::book::JobIx) {
+    fn blame(&mut self, m: MachineIx, job: crate::registry::JobIx) {
         let machine = &mut self.machines[m as usize];
         machine.failures.insert(job);
         if machine.failures.len() as u32 >= self.tun.sick_after && machine.draining.is_none() {
@@ -644,7 +498,7 @@
         machine.state = MachineState::Gone;
         machine.outbox.clear();
         self.unsettle(m);
-        self.strays.retain(|_, on| *on != m);
+        self.conflicting_replicas.retain(|_, on| *on != m);
         self.gone.push_back((now, m));
         // Starts that waited for the next message to it are never sent.
         self.last_look(now, m, false);
--- a/crates/core/src/unchanged.rs
+++ b/crates/core/src/unchanged.rs
@@ -15,9 +15,9 @@
 
 use std::collections::BTreeSet;
 
-use crate::book::{MachineState, Scheduler, TaskId};
 use crate::leadership::token;
-use crate::receipts::BEGUN_AFTER;
+use crate::registry::{MachineState, Scheduler, TaskId};
+use crate::reports::BEGUN_AFTER;
 use crate::task::{MachineIx, Phase};
 use crate::time::{Span, Time};
 use crate::wire::{self, Report, TaskReport, TaskStage};
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -277,7 +277,7 @@
 /// A command to a worker.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "call", rename_all = "lowercase")]
-pub enum Call {
+pub enum WorkerCommand {
     Kill {
         #[serde(rename = "nut")]
         task: String,
@@ -305,7 +305,15 @@
 pub struct ReportAnswer {
     #[serde(rename = "staff")]
     pub token: u64,
-    pub calls: Vec<Call>,
+    pub calls: Vec<WorkerCommand>,
+}
+
+/// The body of an answer that sends a worker to another node.
+#[derive(Debug, Serialize)]
+pub struct Redirect {
+    /// Where it should report; `None`: to whichever answers.
+    #[serde(rename = "keeper", skip_serializing_if = "Option::is_none")]
+    pub node: Option<String>,
 }
 
 /// The body of `/commands`.
@@ -315,7 +323,7 @@
     pub token: u64,
     #[serde(rename = "season")]
     pub session: u64,
-    pub calls: &'a [Call],
+    pub calls: &'a [WorkerCommand],
 }
 
 /// A machine type as the cloud publishes it.
--- a/crates/core/src/wire/tests.rs
+++ b/crates/core/src/wire/tests.rs
@@ -80,7 +80,7 @@
 
 #[test]
 fn commands_use_the_words_of_the_protocol() {
-    let call = Call::Kill { task: "req-1/0".into(), attempt: 2, grace_s: 10.0 };
+    let call = WorkerCommand::Kill { task: "req-1/0".into(), attempt: 2, grace_s: 10.0 };
     assert_eq!(
         serde_json::to_value(&call).expect("json"),
         json!({"call":"kill","nut":"req-1/0","try":2,"dropS":10.0})
--- a/crates/core/tests/any_order.rs
+++ b/crates/core/tests/any_order.rs
@@ -6,8 +6,8 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use serde_json::json;
-use walnutlug_core::book::{Command, DirectOutcome, Outcome, Scheduler};
-use walnutlug_core::wire::{Call, Report};
+use walnutlug_core::registry::{Command, DirectOutcome, Outcome, Scheduler};
+use walnutlug_core::wire::{Report, WorkerCommand};
 use world::{spec, World};
 
 /// A message that the test holds.
@@ -24,7 +24,7 @@
         name: String,
         token: u64,
         session: u64,
-        calls: Vec<Call>,
+        calls: Vec<WorkerCommand>,
     },
     Report(Report),
 }
--- a/crates/core/tests/chains.rs
+++ b/crates/core/tests/chains.rs
@@ -4,9 +4,9 @@
 mod world;
 
 use serde_json::json;
-use walnutlug_core::book::{Command, Outcome};
 use walnutlug_core::chain::Found;
 use walnutlug_core::job::{keys, End, JobSpec, Rank};
+use walnutlug_core::registry::{Command, Outcome};
 use world::{one_machine, spec, World};
 
 const FIRST: &str = "req-000001";
@@ -121,7 +121,7 @@
     w.leader.ends_found(w.now, &[(FIRST.to_owned(), Found::Open)]);
     w.run_out();
     assert!(w.places().is_empty() && w.end(SECOND).is_none());
-    // Not in the book, so no commit of this leader's tells; the watch or the next reading does.
+    // Not in the registry, so no commit of this leader's tells; the watch or the next reading does.
     assert_eq!(w.leader.open_needs(), [FIRST]);
     w.store.put(&keys::end(FIRST), json!("done"));
     w.leader.job_ended(w.now, FIRST, End::Done);
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -3,8 +3,8 @@
 mod world;
 
 use serde_json::json;
-use walnutlug_core::book::Command;
 use walnutlug_core::job::{keys, JobSpec, Rank};
+use walnutlug_core::registry::Command;
 use walnutlug_core::time::Span;
 use walnutlug_core::tunables::{Objective, Site};
 use walnutlug_core::wire::{ListedMachine, MachineStage, MachineType};
--- a/crates/core/tests/sim/follower.rs
+++ b/crates/core/tests/sim/follower.rs
@@ -5,7 +5,7 @@
 use walnutlug_core::time::{Span, Time};
 use walnutlug_core::tunables::Site;
 use walnutlug_core::unchanged::{SettledReport, Withdrawn};
-use walnutlug_core::wire::{Call, Report};
+use walnutlug_core::wire::{Report, WorkerCommand};
 
 use super::Leader;
 
@@ -107,7 +107,7 @@
         linked: bool,
         settled: &mut Option<(Report, SettledReport)>,
         report: &Report,
-    ) -> Option<(u64, Vec<Call>)> {
+    ) -> Option<(u64, Vec<WorkerCommand>)> {
         if let Some(mark) = super::repeats(settled, report) {
             if let Some(token) = self.served.may_repeat(now, mark) {
                 self.heard.push((mark, report.seq));
--- a/crates/core/tests/sim/mod.rs
+++ b/crates/core/tests/sim/mod.rs
@@ -9,13 +9,13 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use serde_json::{json, Value};
-use walnutlug_core::book::{todo_value, Command, DirectOutcome, Outcome, Scheduler};
 use walnutlug_core::job::{keys, End, JobSpec};
+use walnutlug_core::registry::{todo_value, Command, DirectOutcome, Outcome, Scheduler};
 use walnutlug_core::time::{Span, Time};
 use walnutlug_core::tunables::{Site, Tunables};
 use walnutlug_core::unchanged::{SettledReport, OWN_NODE};
 use walnutlug_core::wire::{
-    Call, Cause, Change, ListedMachine, MachineStage, Report, TaskStage, Txn,
+    Cause, Change, ListedMachine, MachineStage, Report, TaskStage, Txn, WorkerCommand,
 };
 
 use crate::world::{self, Store, Worker};
@@ -108,7 +108,7 @@
     deaf: Time,
     hung: Time,
     /// Messages that came while it hung or that were held up.
-    held: Vec<(Time, u64, u64, Vec<Call>)>,
+    held: Vec<(Time, u64, u64, Vec<WorkerCommand>)>,
     ran: BTreeMap<(String, u64), Span>,
     gone: bool,
     /// Its last report, if that left nothing to do.
@@ -128,7 +128,7 @@
     now: Time,
     settled: &mut Option<(Report, SettledReport)>,
     report: &Report,
-) -> Option<(u64, Vec<Call>)> {
+) -> Option<(u64, Vec<WorkerCommand>)> {
     leader.s.known_until = leader.known;
     if let Some(mark) = repeats(settled, report) {
         if let Some(token) = leader.s.report_unchanged(now, mark, report.seq) {
--- a/crates/core/tests/starts.rs
+++ b/crates/core/tests/starts.rs
@@ -1,12 +1,12 @@
-//! Starts, receipts and proofs, each against the failure that it guards against.
+//! Starts, reports and proofs, each against the failure that it guards against.
 
 mod world;
 
 use serde_json::json;
-use walnutlug_core::book::{Command, DirectOutcome, MachineState, Outcome};
 use walnutlug_core::job::keys;
+use walnutlug_core::registry::{Command, DirectOutcome, MachineState, Outcome};
 use walnutlug_core::task::Phase;
-use walnutlug_core::wire::{Call, ListedMachine, MachineStage};
+use walnutlug_core::wire::{ListedMachine, MachineStage, WorkerCommand};
 use world::{one_machine, spec, World};
 
 const JOB: &str = "req-000001";
@@ -26,7 +26,7 @@
     w.leader.txn_answer(w.now, id, outcome);
     w.tick();
     let (_, _, _, calls) = w.take_direct();
-    assert_eq!(calls, [Call::Run { task: format!("{JOB}/0"), attempt: 1 }]);
+    assert_eq!(calls, [WorkerCommand::Run { task: format!("{JOB}/0"), attempt: 1 }]);
 }
 
 #[test]
@@ -545,7 +545,7 @@
     w.settle();
     w.all_report();
     let place = w.places_of(&format!("{JOB}/0"))[0].to_owned();
-    // Against the book, an earlier attempt is there, and the book's own was refused for it.
+    // Against the registry, an earlier attempt is there, and the registry's own was refused for it.
     let task = format!("{JOB}/0");
     let worker = w.workers.get_mut(&place).expect("worker");
     worker.tasks.insert((task.clone(), 1), (TaskStage::Exited, Some(Cause::InUse)));
@@ -562,7 +562,7 @@
     assert_eq!((w.places_of(&task).len(), w.attempt(JOB, 0)), (1, 2));
 }
 
-/// A machine shows a task live that the book takes for pending: whatever led to that, the start waits.
+/// A machine shows a task live that the registry takes for pending: whatever led to that, the start waits.
 #[test]
 fn a_start_waits_while_another_machine_shows_the_task_live() {
     use walnutlug_core::wire::TaskStage;
--- a/crates/core/tests/trust.rs
+++ b/crates/core/tests/trust.rs
@@ -3,16 +3,16 @@
 
 mod world;
 
-use walnutlug_core::book::{Command, DirectOutcome, MachineState, Scheduler};
 use walnutlug_core::job::{JobSpec, Rank};
 use walnutlug_core::leadership::token;
+use walnutlug_core::registry::{Command, DirectOutcome, MachineState, Scheduler};
 use walnutlug_core::task::Phase;
 use walnutlug_core::wire::Report;
 use world::{spec, Worker, World};
 
 const JOB: &str = "req-000001";
 
-fn machine<'a>(w: &'a World, name: &str) -> &'a walnutlug_core::book::Machine {
+fn machine<'a>(w: &'a World, name: &str) -> &'a walnutlug_core::registry::Machine {
     &w.leader.machines[w.leader.by_name[name] as usize]
 }
 
--- a/crates/core/tests/unchanged.rs
+++ b/crates/core/tests/unchanged.rs
@@ -3,8 +3,8 @@
 
 mod world;
 
-use walnutlug_core::book::{Command, DirectOutcome};
 use walnutlug_core::job::JobSpec;
+use walnutlug_core::registry::{Command, DirectOutcome};
 use walnutlug_core::time::Span;
 use walnutlug_core::unchanged::{SettledReport, OWN_NODE};
 use walnutlug_core::wire::{sequence_digits, Report, TaskStage};
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -6,14 +6,16 @@
 use std::rc::Rc;
 
 use serde_json::{json, Value};
-use walnutlug_core::book::{chunk_size, todo_value, Command, DirectOutcome, Outcome, Scheduler};
 use walnutlug_core::chain::Found;
 use walnutlug_core::job::{keys, End, JobSpec, Rank, Team};
 use walnutlug_core::leadership::token;
+use walnutlug_core::registry::{
+    chunk_size, todo_value, Command, DirectOutcome, Outcome, Scheduler,
+};
 use walnutlug_core::time::{Span, Time};
 use walnutlug_core::tunables::{Site, Tunables};
 use walnutlug_core::wire::{
-    Call, Cause, Change, MachineType, Pair, Report, TaskReport, TaskStage, Txn,
+    Cause, Change, MachineType, Pair, Report, TaskReport, TaskStage, Txn, WorkerCommand,
 };
 
 /// The test's clock at its start, and the time of day then.
@@ -137,10 +139,10 @@
         }
     }
 
-    fn execute(&mut self, calls: &[Call]) {
+    fn execute(&mut self, calls: &[WorkerCommand]) {
         for call in calls {
             match call {
-                Call::Run { task, attempt } => {
+                WorkerCommand::Run { task, attempt } => {
                     let here = |(t, (s, _)): (&(String, u64), &(TaskStage, Option<Cause>))| {
                         t.0 == *task && *s != TaskStage::Exited
                     };
@@ -155,14 +157,14 @@
                     };
                     self.tasks.insert(key, state);
                 }
-                Call::Kill { task, attempt, .. } => {
+                WorkerCommand::Kill { task, attempt, .. } => {
                     if let Some(t) = self.tasks.get_mut(&(task.clone(), *attempt)) {
                         if t.0 != TaskStage::Exited {
                             *t = (TaskStage::Exited, Some(Cause::Stopped));
                         }
                     }
                 }
-                Call::Reap { task, attempt } => {
+                WorkerCommand::Reap { task, attempt } => {
                     let key = (task.clone(), *attempt);
                     if self.tasks.get(&key).is_some_and(|t| t.0 == TaskStage::Exited) {
                         self.tasks.remove(&key);
@@ -173,7 +175,7 @@
     }
 
     /// `/commands`: the report after them, executed or not.
-    pub fn direct(&mut self, token: u64, session: u64, calls: &[Call]) -> Report {
+    pub fn direct(&mut self, token: u64, session: u64, calls: &[WorkerCommand]) -> Report {
         if token >= self.token && session == self.session {
             self.token = token;
             self.execute(calls);
@@ -182,7 +184,7 @@
     }
 
     /// The answer to a report of the given session.
-    pub fn answered(&mut self, session: u64, token: u64, calls: &[Call]) {
+    pub fn answered(&mut self, session: u64, token: u64, calls: &[WorkerCommand]) {
         if token >= self.token && session == self.session {
             self.token = token;
             self.execute(calls);
@@ -338,7 +340,7 @@
         }
     }
 
-    pub fn take_direct(&mut self) -> (u32, u64, u64, Vec<Call>) {
+    pub fn take_direct(&mut self) -> (u32, u64, u64, Vec<WorkerCommand>) {
         let with_calls =
             |c: &Command| matches!(c, Command::Direct { calls, .. } if !calls.is_empty());
         let at = self.commands.iter().position(with_calls);
@@ -360,7 +362,7 @@
     }
 
     /// A job of one task whose start is on its way: the machine's name and the message.
-    pub fn start_under_way(&mut self, job: &str) -> (String, (u32, u64, u64, Vec<Call>)) {
+    pub fn start_under_way(&mut self, job: &str) -> (String, (u32, u64, u64, Vec<WorkerCommand>)) {
         self.submit(job, &spec(1));
         self.place_and_commit();
         let message = self.take_direct();
@@ -415,7 +417,7 @@
         }
     }
 
-    pub fn deliver(&mut self, machine: u32, token: u64, session: u64, calls: &[Call]) {
+    pub fn deliver(&mut self, machine: u32, token: u64, session: u64, calls: &[WorkerCommand]) {
         let name = self.leader.machines[machine as usize].name.clone();
         let outcome = match self.workers.get_mut(&name) {
             Some(worker) if worker.alive => {
--- a/crates/walnutlug/src/node.rs
+++ b/crates/walnutlug/src/node.rs
@@ -13,9 +13,9 @@
 use tokio::sync::{mpsc, Notify};
 use tokio::time::{sleep, Duration, Instant};
 use tracing::{debug, info, warn};
-use walnutlug_core::book::{MachineState, Scheduler};
 use walnutlug_core::job::{keys, End};
 use walnutlug_core::leadership::{Input, Leadership, Role};
+use walnutlug_core::registry::{MachineState, Scheduler};
 use walnutlug_core::time::Time;
 use walnutlug_core::tunables::Tunables;
 use walnutlug_core::watermark::{ask_every, CancelLog, Watermark};
@@ -54,6 +54,13 @@
     count: u64,
 }
 
+/// Who leads, as far as a node knows, and under which term.
+struct KnownLeader {
+    name: String,
+    term: u64,
+}
+
+/// One controller: what it knows, and the conversations that it takes part in.
 pub struct Node {
     pub settings: Settings,
     pub tunables: Rc<Tunables>,
@@ -64,7 +71,7 @@
     pub leadership: RefCell<Leadership>,
     pub scheduler: RefCell<Option<Scheduler>>,
     pub types: RefCell<Vec<MachineType>>,
-    pub desk: users::Desk,
+    pub user_api: users::UserApi,
     /// Wakes the leader: something is to be decided.
     pub new_work: Notify,
     pub redirected: Cell<u16>,
@@ -73,8 +80,7 @@
     pub submit_times: RefCell<Histogram<u64>>,
     wake: Notify,
     step_down: Notify,
-    /// Who leads, as far as this node knows, and under which term.
-    keeper: RefCell<Option<(String, u64)>>,
+    known_leader: RefCell<Option<KnownLeader>>,
     peer_states: RefCell<HashMap<String, PeerState>>,
     peer_queues: Vec<mpsc::Sender<Rc<Vec<u8>>>>,
     incarnation: String,
@@ -104,7 +110,7 @@
     watermark: RefCell<Watermark>,
     /// Whether leases were renewed when a worker reported last.
     renews: Cell<bool>,
-    /// Ends heard of while the records are read, when there is no book to tell them to.
+    /// Ends heard of while the records are read, when there is no registry to tell them to.
     ends_while_loading: RefCell<Vec<(String, End)>>,
 }
 
@@ -135,14 +141,14 @@
             leadership: RefCell::default(),
             scheduler: RefCell::new(None),
             types: RefCell::default(),
-            desk: users::Desk::default(),
+            user_api: users::UserApi::default(),
             new_work: Notify::new(),
             redirected: Cell::new(0),
             serving: Serving::new(&settings.site, settings.peers.len()),
             submit_times: RefCell::new(histogram),
             wake: Notify::new(),
             step_down: Notify::new(),
-            keeper: RefCell::new(None),
+            known_leader: RefCell::new(None),
             peer_states: RefCell::default(),
             peer_queues,
             incarnation: format!("{:016x}", rand::random::<u64>()),
@@ -176,24 +182,24 @@
     }
 
     /// The node that workers should report to, if it is another one.
-    pub fn keeper(&self) -> Option<String> {
-        let keeper = self.keeper.borrow();
-        keeper.as_ref().map(|k| k.0.clone()).filter(|n| *n != self.settings.node_name)
+    pub fn other_leader(&self) -> Option<String> {
+        let leader = self.known_leader.borrow();
+        leader.as_ref().map(|leader| leader.name.clone()).filter(|n| *n != self.settings.node_name)
     }
 
     /// The other node that leads under that very term, as far as this one knows.
     pub fn leader_under(&self, term: u64) -> Option<String> {
-        let keeper = self.keeper.borrow();
-        let leads = keeper.as_ref().filter(|k| k.1 == term && k.0 != self.settings.node_name);
-        leads.map(|k| k.0.clone())
+        let leader = self.known_leader.borrow();
+        let leader = leader.as_ref().filter(|leader| leader.term == term)?;
+        (leader.name != self.settings.node_name).then(|| leader.name.clone())
     }
 
-    fn learn_keeper(&self, name: &str, term: u64) {
-        let mut keeper = self.keeper.borrow_mut();
-        if keeper.as_ref().is_none_or(|k| k.1 < term) {
-            *keeper = Some((name.to_owned(), term));
+    fn learn_leader(&self, name: &str, term: u64) {
+        let mut leader = self.known_leader.borrow_mut();
+        if leader.as_ref().is_none_or(|known| known.term < term) {
+            *leader = Some(KnownLeader { name: name.to_owned(), term });
         }
-        drop(keeper);
+        drop(leader);
         let own = self.leadership.borrow().term();
         if name != self.settings.node_name && own.is_some_and(|own| own < term) {
             self.give_up_lead("another node leads under a newer term");
@@ -202,10 +208,10 @@
 
     /// The leader of that term leads no more. Workers aren't sent to it: it may be dead, and a
     /// connection to it may hang.
-    fn forget_keeper(&self, term: u64) {
-        let mut keeper = self.keeper.borrow_mut();
-        if keeper.as_ref().is_some_and(|k| k.1 <= term) {
-            *keeper = None;
+    fn forget_leader(&self, term: u64) {
+        let mut leader = self.known_leader.borrow_mut();
+        if leader.as_ref().is_some_and(|known| known.term <= term) {
+            *leader = None;
         }
     }
 
@@ -285,7 +291,7 @@
     /// The job has ended, for certain: from the state service. Told to the other nodes before any
     /// user hears of it from this one.
     pub fn learn_end(&self, name: &str, end: End) {
-        if end == End::Aborted && self.desk.ended(name).is_none() {
+        if end == End::Aborted && self.user_api.ended(name).is_none() {
             self.cancel_log.borrow_mut().append(self.now(), name);
             self.tell_cancelled();
         }
@@ -296,13 +302,13 @@
     /// The job has ended, for certain: from the state service, or cancelled by another node's word,
     /// which tells only what is stored.
     fn take_end(&self, name: &str, end: End) {
-        let known = self.desk.ended(name).is_some();
+        let known = self.user_api.ended(name).is_some();
         let open =
             |s: &Scheduler| s.by_ref.get(name).and_then(|ix| s.job(*ix)).is_some_and(|j| !j.over);
         if known && !self.scheduler.borrow().as_ref().is_some_and(open) {
             return;
         }
-        self.desk.learn_end(name, end);
+        self.user_api.learn_end(name, end);
         let mut scheduler = self.scheduler.borrow_mut();
         match scheduler.as_mut() {
             Some(s) => s.job_ended(self.now(), name, end),
@@ -320,7 +326,7 @@
         match frame {
             Frame::Status { name, term, leading, served, redirected, life, count } => {
                 if leading {
-                    self.learn_keeper(&name, term);
+                    self.learn_leader(&name, term);
                     serving::ask_new_leader(self, term);
                     let last = self.cancel_log.borrow().last();
                     let vouch = Frame::Vouch {
@@ -353,7 +359,7 @@
                     states.insert(name, state);
                 }
             }
-            Frame::Progress { job, done, running } => self.desk.progress(&job, done, running),
+            Frame::Progress { job, done, running } => self.user_api.progress(&job, done, running),
             // Told only once it is stored, so a fact: what it cancels is stopped, also while the state
             // service refuses this node.
             Frame::Ended { job, end: End::Aborted } if is_job_ref(&job) => {
@@ -361,7 +367,7 @@
             }
             // Only a hint to look: a job is released by what the state service tells.
             Frame::Ended { job, .. } => {
-                self.desk.ended_elsewhere(&job);
+                self.user_api.ended_elsewhere(&job);
                 self.new_work.notify_one();
             }
             Frame::Cancelled { node, life, first, jobs } => {
--- a/crates/walnutlug/src/node/lead.rs
+++ b/crates/walnutlug/src/node/lead.rs
@@ -5,11 +5,11 @@
 
 use tokio::time::{sleep, timeout, Duration, Instant};
 use tracing::{debug, info, warn};
-use walnutlug_core::book::{Command, Outcome, Scheduler};
 use walnutlug_core::chain::Found;
 use walnutlug_core::document::Document;
 use walnutlug_core::job::{keys, End};
 use walnutlug_core::leadership::{Input, Role};
+use walnutlug_core::registry::{Command, Outcome, Scheduler};
 use walnutlug_core::time::{Span, Time};
 use walnutlug_core::watermark;
 use walnutlug_core::wire::{Change, Guard, RentRequest, Txn, WatchEvent};
@@ -40,7 +40,7 @@
                 if name == node.settings.node_name {
                     end_former_lead(&node, &pair).await;
                 }
-                node.learn_keeper(&name, pair.mark);
+                node.learn_leader(&name, pair.mark);
                 let hold = Duration::from_secs(10);
                 match node.state.watch(Class::Leadership, keys::LEADER, pair.mark, hold).await {
                     Ok(w) => {
@@ -49,7 +49,7 @@
                         );
                         if vacant {
                             info!("the leader key is gone");
-                            node.forget_keeper(pair.mark);
+                            node.forget_leader(pair.mark);
                         }
                     }
                     Err(_) => sleep(Duration::from_millis(300)).await,
@@ -112,7 +112,7 @@
     }
     info!(term, "elected");
     node.state.lead(true);
-    node.learn_keeper(&node.settings.node_name, term);
+    node.learn_leader(&node.settings.node_name, term);
     lead(node, term, lease, touched).await;
     let _ = timeout(Duration::from_millis(500), node.state.release(lease)).await;
 }
@@ -206,7 +206,7 @@
     }
     for key in s.load_runs(now, &runs) {
         // Descriptions are dropped last, so this is damage from outside. Whatever it places is
-        // strange to the book and will be stopped where it reports.
+        // strange to the registry and will be stopped where it reports.
         warn!("stored {key} belongs to no job and is passed over");
     }
     let open: Vec<String> = s.by_ref.keys().cloned().collect();
@@ -291,7 +291,7 @@
     }
     let open: Vec<String> = names.into_iter().filter(|n| !ended.contains(n)).collect();
     for name in open {
-        // What is in the book was accepted; of anything else, the proof is looked for once.
+        // What is in the registry was accepted; of anything else, the proof is looked for once.
         let known = node.scheduler.borrow().as_ref().is_some_and(|s| s.by_ref.contains_key(&name));
         if known {
             found.push((name, Found::Open));
@@ -335,7 +335,7 @@
                 }
             }
         }
-        // What others wait for may not be in the book: its end has to be heard of all the same.
+        // What others wait for may not be in the registry: its end has to be heard of all the same.
         let needs = s.open_needs().into_iter().filter(|n| !s.by_ref.contains_key(n));
         let needs: Vec<String> = needs.collect();
         [s.open_jobs(), needs].concat()
@@ -349,8 +349,8 @@
     Ok(())
 }
 
-/// The book becomes the node's. The machine types may have come while the records were read, when
-/// there was no book to tell them to. (Seen on loopback, where the cloud answers within that time:
+/// The registry becomes the node's. The machine types may have come while the records were read, when
+/// there was no registry to tell them to. (Seen on loopback, where the cloud answers within that time:
 /// a leader without types rented and placed nothing until a price moved.)
 ///
 /// So may ends have that other nodes told meanwhile, which their word for them counts as known here.
@@ -516,7 +516,7 @@
 fn with_scheduler(node: &Rc<Node>, term: u64, f: impl FnOnce(&mut Scheduler, Time)) {
     let now = node.now();
     if let Some(s) = node.scheduler.borrow_mut().as_mut() {
-        // Answers to a former term's requests mean nothing to this one's book.
+        // Answers to a former term's requests mean nothing to this one's registry.
         if s.term == term {
             f(s, now);
         }
--- a/crates/walnutlug/src/node/lead/tests.rs
+++ b/crates/walnutlug/src/node/lead/tests.rs
@@ -26,8 +26,8 @@
     let node = StandIn::default().node();
     let (site, tunables) = (node.site.clone(), node.tunables.clone());
     install(&node, Scheduler::new(site, tunables, 7, Vec::new(), node.now()));
-    let book = node.scheduler.borrow();
-    assert_eq!(book.as_ref().map(|s| s.types.len()), Some(1));
+    let registry = node.scheduler.borrow();
+    assert_eq!(registry.as_ref().map(|s| s.types.len()), Some(1));
 }
 
 /// A process back within its former lease met its own key and waited for it to run out.
--- a/crates/walnutlug/src/node/tests.rs
+++ b/crates/walnutlug/src/node/tests.rs
@@ -100,11 +100,11 @@
 #[tokio::test(start_paused = true)]
 async fn a_worker_is_let_go_before_users_lack_sockets() {
     let node = StandIn::default().node();
-    let hello = || Request { method: "POST".into(), path: "/hello".into(), body: vec![] };
+    let request = || Request { method: "POST".into(), path: "/hello".into(), body: vec![] };
     node.open.set(Sockets::share(node.settings.fd_limit).workers_kept);
-    assert!(!handle(node.clone(), Rc::default(), hello()).await.close);
+    assert!(!handle(node.clone(), Rc::default(), request()).await.close);
     node.open.set(node.open.get() + 1);
-    assert!(handle(node.clone(), Rc::default(), hello()).await.close);
+    assert!(handle(node.clone(), Rc::default(), request()).await.close);
 }
 
 #[tokio::test(start_paused = true)]
@@ -125,7 +125,7 @@
     assert_eq!(node.leadership.borrow().term(), Some(5));
     node.peer_frame(status(6));
     assert_eq!(node.leadership.borrow().term(), None);
-    assert_eq!(node.keeper().as_deref(), Some("kernel-1"));
+    assert_eq!(node.other_leader().as_deref(), Some("kernel-1"));
 }
 
 pub const JOB: &str = "req-000412";
@@ -170,7 +170,7 @@
 }
 
 /// The worker reports its task. The answer's status and calls.
-fn hello(node: &Node, seq: u64) -> (u16, Vec<String>) {
+fn report_once(node: &Node, seq: u64) -> (u16, Vec<String>) {
     let (status, _, calls) = report_on(node, &WorkerConnection::default(), seq, 0);
     (status, calls)
 }
@@ -249,7 +249,7 @@
                 let store = StandIn::default();
                 let mut c = leader_with_a_task(&store).await;
                 let leader = c.nodes[0].clone();
-                assert_eq!(hello(&leader, 1), (200, vec![]), "{meeting}");
+                assert_eq!(report_once(&leader, 1), (200, vec![]), "{meeting}");
                 let answer = users::withdraw(c.nodes[1].clone(), JOB).await;
                 assert_eq!(answer.status, 200, "{meeting}: nothing was confirmed");
                 let told = Instant::now();
@@ -265,7 +265,7 @@
                         node.tell_status();
                     }
                     c.deliver(|from, to| open || (from, to) != (1, 0)).await;
-                    let (status, calls) = hello(&leader, seq);
+                    let (status, calls) = report_once(&leader, seq);
                     seq += 1;
                     let knows = !calls.is_empty();
                     assert!(
@@ -311,7 +311,7 @@
                     leader.peer_frame(frame);
                 }
                 c.deliver(|from, to| (from, to) == (2, 0) || (from, to) == (0, 2)).await;
-                let (status, calls) = hello(&leader, seq);
+                let (status, calls) = report_once(&leader, seq);
                 assert!(calls.is_empty());
                 let late = told.elapsed() > Duration::from_secs(20);
                 assert!(!late || status == 421, "renewed after {:?}", told.elapsed());
@@ -321,7 +321,7 @@
             store.fault(Fault::None);
             leader.learn_end(JOB, End::Aborted);
             leader.watermark.borrow_mut().read(leader.now());
-            let (status, calls) = hello(&leader, 50);
+            let (status, calls) = report_once(&leader, 50);
             assert_eq!((status, calls.len()), (200, 1));
         })
         .await;
@@ -334,7 +334,7 @@
     for input in [Input::Vacant, Input::Won { term: 5 }] {
         node.leadership.borrow_mut().step(node.now(), input);
     }
-    assert_eq!(hello(&node, 1).0, 421);
+    assert_eq!(report_once(&node, 1).0, 421);
 }
 
 /// A cancellation that is heard of between the reading of the ends and the first round.
@@ -343,7 +343,7 @@
     let store = StandIn::default();
     let c = leader_with_a_task(&store).await;
     let node = c.nodes[0].clone();
-    let book = node.scheduler.borrow_mut().take().expect("a book");
+    let registry = node.scheduler.borrow_mut().take().expect("a registry");
     node.leadership.borrow_mut().step(node.now(), Input::Lost);
     for input in [Input::Vacant, Input::Won { term: 6 }] {
         node.leadership.borrow_mut().step(node.now(), input);
@@ -354,7 +354,7 @@
         first: 1,
         jobs: vec![JOB.into()],
     });
-    lead::install(&node, book);
+    lead::install(&node, registry);
     let open = node.scheduler.borrow().as_ref().map(|s| s.open_jobs());
     assert_eq!(open, Some(vec![]));
 }
--- a/crates/walnutlug/src/serving.rs
+++ b/crates/walnutlug/src/serving.rs
@@ -174,7 +174,7 @@
 
 /// Asks whoever leads for a grant.
 pub fn ask(node: &Node) {
-    let Some(leader) = node.keeper() else { return };
+    let Some(leader) = node.other_leader() else { return };
     let number = node.serving.leader.borrow_mut().ask(node.now());
     let ask = AskGrant {
         node: node.settings.node_name.clone(),
--- a/crates/walnutlug/src/state.rs
+++ b/crates/walnutlug/src/state.rs
@@ -9,7 +9,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::{json, Value};
 use tokio::time::{sleep, Instant};
-use walnutlug_core::book::Outcome;
+use walnutlug_core::registry::Outcome;
 use walnutlug_core::wire::{Committed, Conflict, LeaseGrant, Page, Pair, Txn, Watched};
 
 use crate::http::client::{Client, Failure, Response};
--- a/crates/walnutlug/src/users.rs
+++ b/crates/walnutlug/src/users.rs
@@ -14,9 +14,9 @@
 use tokio::sync::oneshot;
 use tokio::time::{sleep, Duration, Instant};
 use tracing::{debug, info};
-use walnutlug_core::book::{chunk_size, todo_value, Outcome};
 use walnutlug_core::document::Document;
 use walnutlug_core::job::{keys, End, JobSpec};
+use walnutlug_core::registry::{chunk_size, todo_value, Outcome};
 use walnutlug_core::wire::{self, is_job_ref, job_answer, Change, Guard, Stage, Txn};
 
 use checks::check;
@@ -61,7 +61,7 @@
 }
 
 #[derive(Default)]
-pub struct Desk {
+pub struct UserApi {
     known: RefCell<HashMap<String, Known>>,
     progress: RefCell<HashMap<String, (u32, u32)>>,
     submissions: RefCell<Vec<Waiting>>,
@@ -83,7 +83,7 @@
 /// After this long an undecided request is refused, to be repeated by its user.
 const DECIDE_WITHIN: Duration = Duration::from_millis(2_500);
 
-impl Desk {
+impl UserApi {
     /// Remembers what is certain. An end never changes, so it is never replaced.
     fn learn(&self, name: &str, known: Known) {
         let mut map = self.known.borrow_mut();
@@ -171,7 +171,7 @@
         Ok(parsed) => parsed,
         Err(e) => return Answer::error(400, e.to_string()),
     };
-    if node.desk.known(&name).is_some() {
+    if node.user_api.known(&name).is_some() {
         return known_answer(&node, &name).await;
     }
     let Some(fault) = impossible(&node, &spec) else {
@@ -205,14 +205,14 @@
         return Answer::error(400, "breeds, waits: the description is too long to be kept");
     }
     // What can't be written in time is told so at once, and when to come again.
-    let wait = node.state.time_for(2 * node.desk.submissions.borrow().len());
+    let wait = node.state.time_for(2 * node.user_api.submissions.borrow().len());
     if wait > DECIDE_WITHIN {
         return Answer::later_by(wait.as_secs() as u32, "too many submissions at once");
     }
     let (reply, answer) = oneshot::channel();
     let needs: Rc<[String]> = spec.needs.into();
     let waiting = Waiting { name: name.clone(), value, needs, aborted, reply };
-    node.desk.submissions.borrow_mut().push(waiting);
+    node.user_api.submissions.borrow_mut().push(waiting);
     start_submitting(&node);
     let accepted = tokio::time::timeout(DECIDE_WITHIN, answer).await;
     let ms = started.elapsed().as_millis() as u64;
@@ -222,7 +222,7 @@
     }
     match accepted {
         Ok(Ok(Accept::New)) => {
-            let stage = node.desk.ended(&name).map_or(Stage::Queued, ended_stage);
+            let stage = node.user_api.ended(&name).map_or(Stage::Queued, ended_stage);
             Answer::json(201, &job_answer(&name, stage, None))
         }
         Ok(Ok(Accept::Known)) => known_answer(&node, &name).await,
@@ -242,7 +242,7 @@
             Answer::error(422, fault)
         }
         Ok(Some(_)) => {
-            node.desk.learn(name, Known::Accepted(None));
+            node.user_api.learn(name, Known::Accepted(None));
             known_answer(node, name).await
         }
         Err(e) => Answer::later(&e.to_string()),
@@ -264,7 +264,7 @@
 /// end never changes. Where all are known to be accepted a slow answer isn't waited for: whatever was
 /// cancelled meanwhile the leader finds.
 async fn look_at_needs(node: &Rc<Node>, needs: &[String]) -> Needs {
-    let known = needs.iter().all(|n| node.desk.known(n).is_some());
+    let known = needs.iter().all(|n| node.user_api.known(n).is_some());
     let looked = check(node, needs.to_vec(), Class::Submission);
     tokio::pin!(looked);
     let found = match tokio::time::timeout(LOOK_WITHIN, &mut looked).await {
@@ -320,7 +320,7 @@
         let ix = *s.by_ref.get(name)?;
         s.counts(ix)
     });
-    let heard = || node.desk.progress.borrow().get(name).copied();
+    let heard = || node.user_api.progress.borrow().get(name).copied();
     let (done, running) = own.or_else(heard).unwrap_or((0, 0));
     let stage = if running > 0 { Stage::Running } else { Stage::Queued };
     (stage, done, running)
@@ -328,15 +328,15 @@
 
 /// Submissions that come while one transaction is under way share the next.
 fn start_submitting(node: &Rc<Node>) {
-    if node.desk.submitting.get() >= 2 {
+    if node.user_api.submitting.get() >= 2 {
         return;
     }
-    node.desk.submitting.set(node.desk.submitting.get() + 1);
+    node.user_api.submitting.set(node.user_api.submitting.get() + 1);
     let node = node.clone();
     tokio::task::spawn_local(async move {
         loop {
             let batch: Vec<Waiting> = {
-                let mut queue = node.desk.submissions.borrow_mut();
+                let mut queue = node.user_api.submissions.borrow_mut();
                 // Who has stopped waiting was told to come again.
                 queue.retain(|w| !w.reply.is_closed());
                 let most = (node.state.limits().txn_ops / 2).max(1);
@@ -356,7 +356,7 @@
             }
             accept(&node, batch).await;
         }
-        node.desk.submitting.set(node.desk.submitting.get() - 1);
+        node.user_api.submitting.set(node.user_api.submitting.get() - 1);
     });
 }
 
@@ -386,7 +386,7 @@
                     if w.aborted {
                         node.learn_end(&w.name, End::Aborted);
                     } else {
-                        node.desk.learn(&w.name, Known::Accepted(Some(w.needs.clone())));
+                        node.user_api.learn(&w.name, Known::Accepted(Some(w.needs.clone())));
                     }
                     node.tell_peers(&Frame::NewJob { job: w.name.clone() });
                     let _ = w.reply.send(Accept::New);
@@ -405,7 +405,7 @@
                 batch = rest;
                 for w in known {
                     // Perhaps by another node, which saw what it needs in another state.
-                    node.desk.learn(&w.name, Known::Accepted(None));
+                    node.user_api.learn(&w.name, Known::Accepted(None));
                     let _ = w.reply.send(Accept::Known);
                 }
             }
@@ -467,14 +467,14 @@
 
 /// How the job stands, as of now: ended jobs from memory, all others by asking.
 async fn status(node: &Rc<Node>, name: &str) -> Status {
-    if let Some(end) = node.desk.ended(name) {
+    if let Some(end) = node.user_api.ended(name) {
         return Status::Ended(end);
     }
     if node.state.down() {
         return Status::Unclear;
     }
     let (reply, answer) = oneshot::channel();
-    node.desk.checks.borrow_mut().entry(name.to_owned()).or_default().push(reply);
+    node.user_api.checks.borrow_mut().entry(name.to_owned()).or_default().push(reply);
     start_checking(node);
     match tokio::time::timeout(Duration::from_millis(1_700), answer).await {
         Ok(Ok(status)) => status,
@@ -483,7 +483,7 @@
 }
 
 fn start_checking(node: &Rc<Node>) {
-    if node.desk.checking.replace(true) {
+    if node.user_api.checking.replace(true) {
         return;
     }
     let node = node.clone();
@@ -491,7 +491,7 @@
         loop {
             let most = node.state.most_guards();
             let batch: HashMap<String, Vec<oneshot::Sender<Status>>> = {
-                let mut checks = node.desk.checks.borrow_mut();
+                let mut checks = node.user_api.checks.borrow_mut();
                 let names: Vec<String> = checks.keys().take(most).cloned().collect();
                 names.into_iter().filter_map(|n| checks.remove_entry(&n)).collect()
             };
@@ -506,11 +506,11 @@
                     let _ = reply.send(status);
                 }
             }
-            if node.desk.checks.borrow().len() < most {
+            if node.user_api.checks.borrow().len() < most {
                 sleep(CHECK_EVERY).await;
             }
         }
-        node.desk.checking.set(false);
+        node.user_api.checking.set(false);
     });
 }
 
--- a/crates/walnutlug/src/users/checks.rs
+++ b/crates/walnutlug/src/users/checks.rs
@@ -5,8 +5,8 @@
 
 use tokio::time::{Duration, Instant};
 use tracing::info;
-use walnutlug_core::book::Outcome;
 use walnutlug_core::job::{keys, End};
+use walnutlug_core::registry::Outcome;
 use walnutlug_core::wire::{Change, Guard, Txn};
 
 use super::{Known, Status};
@@ -32,8 +32,8 @@
         let mut unread: BTreeSet<String> = BTreeSet::new();
         open.retain(|name| {
             let mut sure = true;
-            for link in node.desk.chain(name) {
-                match node.desk.known(&link) {
+            for link in node.user_api.chain(name) {
+                match node.user_api.known(&link) {
                     Some(Known::Ended(end)) => {
                         // Of what it needs only a cancelled one is here; that is settled below.
                         if link == *name {
@@ -75,8 +75,8 @@
         let behind: Vec<String> = open
             .iter()
             .filter(|n| {
-                let chain = node.desk.chain(n);
-                chain.iter().any(|link| node.desk.ended(link) == Some(End::Aborted))
+                let chain = node.user_api.chain(n);
+                chain.iter().any(|link| node.user_api.ended(link) == Some(End::Aborted))
             })
             .cloned()
             .collect();
@@ -119,7 +119,7 @@
                 }
                 for key in failed {
                     if let Some(name) = key.strip_prefix(keys::JOB) {
-                        node.desk.learn(name, Known::Accepted(None));
+                        node.user_api.learn(name, Known::Accepted(None));
                         any = true;
                     } else if let Some(name) = key.strip_prefix(keys::END) {
                         if let Ok(Some(end)) = node.state.end(name).await {
@@ -155,19 +155,19 @@
         for name in &names {
             let found = node.state.get(class, &keys::description(name, true)).await?;
             let needs = found.map_or(Rc::from([]), |pair| needs_of(&pair.value));
-            node.desk.learn(name, Known::Accepted(Some(needs)));
+            node.user_api.learn(name, Known::Accepted(Some(needs)));
         }
         return Ok(());
     }
     let (pairs, _) = node.state.list(class, keys::CHAINED).await?;
     for pair in &pairs {
         if let Some(name) = pair.key.strip_prefix(keys::CHAINED) {
-            node.desk.learn(name, Known::Accepted(Some(needs_of(&pair.value))));
+            node.user_api.learn(name, Known::Accepted(Some(needs_of(&pair.value))));
         }
     }
     for name in names {
-        if matches!(node.desk.known(&name), Some(Known::Accepted(None))) {
-            node.desk.learn(&name, Known::Accepted(Some(Rc::from([]))));
+        if matches!(node.user_api.known(&name), Some(Known::Accepted(None))) {
+            node.user_api.learn(&name, Known::Accepted(Some(Rc::from([]))));
         }
     }
     Ok(())
--- a/crates/walnutlug/src/workers.rs
+++ b/crates/walnutlug/src/workers.rs
@@ -3,12 +3,11 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use serde_json::json;
-use walnutlug_core::book::DirectOutcome;
 use walnutlug_core::leadership::Role;
+use walnutlug_core::registry::DirectOutcome;
 use walnutlug_core::time::Span;
 use walnutlug_core::unchanged::{Holder, SettledReport, OWN_NODE};
-use walnutlug_core::wire::{Call, Commands, Report, ReportAnswer};
+use walnutlug_core::wire::{Commands, Redirect, Report, ReportAnswer, WorkerCommand};
 
 use crate::http::client::{Client, Failure};
 use crate::http::server::Answer;
@@ -41,7 +40,7 @@
     // lease must not run out between two nodes that send it to each other.
     let other = if first { None } else { node.serving.another_node_for(body.len()) };
     if let Some(other) = other {
-        return Answer::json(421, &json!({"keeper": other}));
+        return redirect_to(Some(other));
     }
     if matches!(node.leadership.borrow().role(), Role::Leading { .. }) {
         return answer_report(node, connection, body);
@@ -87,7 +86,7 @@
 /// The leader's answer to a report, and the mark if it left nothing to do.
 struct ReadReport {
     token: u64,
-    calls: Vec<Call>,
+    calls: Vec<WorkerCommand>,
     settled: Option<SettledReport>,
 }
 
@@ -130,7 +129,7 @@
     Some(ForwardedRead { body, mark })
 }
 
-fn accepted(token: u64, calls: Vec<Call>) -> Answer {
+fn accepted(token: u64, calls: Vec<WorkerCommand>) -> Answer {
     match serde_json::to_vec(&ReportAnswer { token, calls }) {
         Ok(body) => Answer { status: 200, body, retry_after: None, close: false, idle: None },
         Err(e) => Answer::error(503, e.to_string()),
@@ -139,9 +138,14 @@
 
 fn redirect(node: &Node) -> Answer {
     node.redirected.set(node.redirected.get().saturating_add(1));
-    match node.keeper() {
-        Some(name) => Answer::json(421, &json!({"keeper": name})),
-        None => Answer::json(421, &json!({})),
+    redirect_to(node.other_leader())
+}
+
+/// The worker should report to that node, or try the next one.
+fn redirect_to(node: Option<String>) -> Answer {
+    match serde_json::to_value(Redirect { node }) {
+        Ok(body) => Answer::json(421, &body),
+        Err(e) => Answer::error(503, e.to_string()),
     }
 }
 
@@ -151,7 +155,7 @@
     address: &str,
     token: u64,
     session: u64,
-    calls: &[Call],
+    calls: &[WorkerCommand],
 ) -> DirectOutcome {
     let Ok(addr) = address.parse::<SocketAddrV4>() else { return DirectOutcome::NotSent };
     let Ok(body) = serde_json::to_vec(&Commands { token, session, calls }) else {
--- a/crates/walnutlug/src/workers/tests.rs
+++ b/crates/walnutlug/src/workers/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use serde_json::json;
 
 #[test]
 fn malformed_reports_are_named() {
