--- a/crates/core/src/commands.rs
+++ b/crates/core/src/commands.rs
@@ -30,6 +30,7 @@
         let all = if sweep { 0..self.machines.len() } else { 0..0 };
         let noted = noted.into_iter().map(|ix| ix as usize).filter(|_| !sweep);
         for ix in all.chain(noted) {
+            self.looked_at_to_send += 1;
             let m = &self.machines[ix];
             // A machine of the last leader's that has not reported yet is asked at the address that
             // the cloud or another node tells, so that a take-over doesn't wait for its next report.
--- a/crates/core/src/registry.rs
+++ b/crates/core/src/registry.rs
@@ -334,6 +334,8 @@
     pub(crate) under_way: usize,
     /// Machines looked at for placing, for tests of what a round costs.
     pub looked_at: u64,
+    /// Machines looked at for something to send, for tests of what a report costs.
+    pub looked_at_to_send: u64,
     pub started_at: Time,
     pub fleet: crate::fleet::Fleet,
     /// Learned ratio of run time to the owner's estimate, by class: sum of logs and count.
@@ -421,6 +423,7 @@
             withdrawn: Vec::new(),
             under_way: 0,
             looked_at: 0,
+            looked_at_to_send: 0,
             started_at: now,
             fleet: crate::fleet::Fleet::default(),
             ratios: HashMap::new(),
--- a/crates/core/tests/unchanged.rs
+++ b/crates/core/tests/unchanged.rs
@@ -199,3 +199,35 @@
         assert_eq!(found(text), None, "{text}");
     }
 }
+
+/// What a report costs doesn't grow with the fleet: a repetition has no machine looked at, and a new
+/// report its own. (Every report once woke the leader, which then looked at whatever there was.)
+#[test]
+fn a_report_costs_the_same_at_any_size() {
+    for size in [100, 2_000] {
+        let names: Vec<String> = (0..size).map(|i| format!("n-{i:04}")).collect();
+        let machines: Vec<(&str, &str)> = names.iter().map(|n| (n.as_str(), "a")).collect();
+        let mut w = World::new(&machines);
+        w.submit(JOB, &JobSpec { cpus: 4.0, ..spec(3) });
+        w.settle();
+        w.all_report();
+        w.settle();
+        let busy = w.places().into_values().next().expect("a task")[0].clone();
+        let report = w.workers.get_mut(&busy).expect("worker").report();
+        w.leader.report(w.now, &report);
+        let settled = w.leader.settle_report(w.now, &report, OWN_NODE).expect("a mark");
+        w.leader.tick(w.now);
+        for repetition in 1..=10 {
+            let before = w.leader.looked_at_to_send;
+            w.leader.report_unchanged(w.now, settled, report.seq + repetition).expect("an answer");
+            w.leader.tick(w.now);
+            assert_eq!(w.leader.looked_at_to_send - before, 0, "{size} machines");
+        }
+        let before = w.leader.looked_at_to_send;
+        w.finish(&busy, &report.tasks[0].task);
+        w.workers.get_mut(&busy).expect("worker").seq += 20;
+        w.report(&busy);
+        w.leader.tick(w.now);
+        assert_eq!(w.leader.looked_at_to_send - before, 1, "{size} machines");
+    }
+}
--- a/crates/walnutlug/src/serving.rs
+++ b/crates/walnutlug/src/serving.rs
@@ -7,6 +7,7 @@
 
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout, Duration, Instant};
+use tracing::info;
 use walnutlug_core::leadership::Role;
 use walnutlug_core::serving::{Grant, NewMark, ServedLeader};
 use walnutlug_core::task::MachineIx;
@@ -246,7 +247,12 @@
         Frame::AskGrant(ask) => grant(node, &ask),
         Frame::Granting(granting) if granting.asker_life == node.life => {
             let now = node.now();
+            let before = node.serving.leader.borrow().term();
             if node.serving.leader.borrow_mut().granted(now, &granting.grant) {
+                let term = granting.grant.term;
+                if before != Some(term) {
+                    info!(term, leader = %granting.node, "answering workers on the leader's behalf");
+                }
                 node.serving.moving.set(u32::from(granting.spare), granting.spare_to);
             }
         }
--- a/crates/walnutlug/src/serving/tests.rs
+++ b/crates/walnutlug/src/serving/tests.rs
@@ -179,6 +179,38 @@
     tokio::task::LocalSet::new().run_until(test).await;
 }
 
+/// Reports that wait for a leader that doesn't answer are bounded; beyond that workers are sent on at once.
+#[tokio::test(start_paused = true)]
+async fn only_so_many_reports_wait_for_the_leader() {
+    let test = async {
+        let store = StandIn::default();
+        let c = served(&store).await;
+        let node = c.nodes[1].clone();
+        let ask = |node: Rc<Node>| async move {
+            let body = report_of(1, 0);
+            workers::report(&node, &WorkerConnection::default(), body.as_bytes()).await
+        };
+        let waiting: Vec<_> =
+            (0..MOST_WAITING).map(|_| tokio::task::spawn_local(ask(node.clone()))).collect();
+        for _ in 0..100 {
+            tokio::task::yield_now().await;
+        }
+        assert_eq!(node.serving.waiting.borrow().len(), MOST_WAITING);
+        let began = Instant::now();
+        assert_eq!(ask(node.clone()).await.status, 421);
+        assert_eq!(began.elapsed(), Duration::ZERO);
+        for one in waiting {
+            assert_eq!(one.await.expect("an answer").status, 421);
+        }
+        assert!(node.serving.waiting.borrow().is_empty(), "what was refused can come again");
+        // A report longer than a frame goes to the leader itself.
+        let long = format!("{}{}", report_of(1, 0), " ".repeat(MOST_CARRIED));
+        let answer = workers::report(&node, &WorkerConnection::default(), long.as_bytes()).await;
+        assert_eq!(answer.status, 421);
+    };
+    tokio::task::LocalSet::new().run_until(test).await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_new_life_of_a_follower_answers_nothing_of_its_former_ones_marks() {
     let test = async {
