--- a/crates/core/src/commands.rs
+++ b/crates/core/src/commands.rs
@@ -96,6 +96,10 @@
             self.unsettle(m);
         }
         let machine = &mut self.machines[m as usize];
+        match outcome {
+            DirectOutcome::Answered(_) => (self.answered_at, self.lost_since) = (now, 0),
+            DirectOutcome::NotSent | DirectOutcome::Lost => self.lost_since += 1,
+        }
         match outcome {
             DirectOutcome::Answered(report) => {
                 if report.machine == machine.name {
--- a/crates/core/src/health.rs
+++ b/crates/core/src/health.rs
@@ -10,6 +10,9 @@
 /// How often every task's run time is compared with its siblings'.
 const SLOW_EVERY: Span = Span::secs(2);
 
+/// Messages lost in a row, to any machines, that are more than the bad luck of some of them.
+const MANY_LOST: u32 = 12;
+
 /// The part of a notice's time that is counted on.
 const NOTICE_TRUST: f64 = 0.75;
 
@@ -30,6 +33,14 @@
             })
     }
 
+    /// Whether no worker is reached any more: for a report's interval every message was lost, and there
+    /// were several. Their reports may still come, through other nodes, so this leader isn't deaf; but
+    /// whatever it starts is lost. (A leader cut off from the workers went on so for 40 s, lost each
+    /// start that it sent, and gave machines back that other nodes reach.)
+    pub fn reaches_no_worker(&self, now: Time) -> bool {
+        self.lost_since >= MANY_LOST && now.since(self.answered_at) > self.site.report
+    }
+
     /// The zones whose machines are unheard as a whole: of many machines about half should have
     /// reported within half an interval, and nearly none has. (The machines that happened to have
     /// reported longest ago pass any patience first, when most of the others are not even due: one by
--- a/crates/core/src/registry.rs
+++ b/crates/core/src/registry.rs
@@ -332,6 +332,9 @@
     pub(crate) withdrawn: Vec<crate::unchanged::Withdrawn>,
     /// Messages to workers whose outcome is open.
     pub(crate) under_way: usize,
+    /// When a worker last answered a message, and how many were lost since.
+    pub(crate) answered_at: Time,
+    pub(crate) lost_since: u32,
     /// Machines looked at for placing, for tests of what a round costs.
     pub looked_at: u64,
     /// Machines looked at for something to send, for tests of what a report costs.
@@ -422,6 +425,8 @@
             next_settled: 0,
             withdrawn: Vec::new(),
             under_way: 0,
+            answered_at: now,
+            lost_since: 0,
             looked_at: 0,
             looked_at_to_send: 0,
             started_at: now,
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -4,7 +4,7 @@
 
 use serde_json::json;
 use walnutlug_core::job::{keys, JobSpec, Rank};
-use walnutlug_core::registry::Command;
+use walnutlug_core::registry::{Command, DirectOutcome};
 use walnutlug_core::time::Span;
 use walnutlug_core::tunables::{Objective, Site};
 use walnutlug_core::wire::{ListedMachine, MachineStage, MachineType};
@@ -623,3 +623,40 @@
     w.tick();
     assert_eq!(gave(&w), 1);
 }
+
+/// A leader that is cut off from the workers, while other nodes pass their reports on to it, isn't deaf; but
+/// nothing that it sends arrives.
+#[test]
+fn a_leader_whose_messages_are_all_lost_reaches_no_worker() {
+    let names: Vec<String> = (0..20).map(|i| format!("n-{i:02}")).collect();
+    let machines: Vec<(&str, &str)> = names.iter().map(|n| (n.as_str(), "a")).collect();
+    let mut w = World::new(&machines);
+    w.submit("req-000001", &JobSpec { cpus: 8.0, ..spec(20) });
+    w.place_and_commit();
+    let lost = |w: &mut World| {
+        for command in std::mem::take(&mut w.commands) {
+            if let Command::Direct { machine, .. } = command {
+                w.leader.direct_answer(w.now, machine, DirectOutcome::Lost);
+            }
+        }
+    };
+    lost(&mut w);
+    assert!(!w.leader.reaches_no_worker(w.now), "all at once may be one moment's trouble");
+    for _ in 0..4 {
+        w.wait(1_000);
+        w.all_report();
+        w.tick();
+        lost(&mut w);
+    }
+    assert!(!w.leader.deaf(w.now), "reports come");
+    assert!(w.leader.reaches_no_worker(w.now));
+    // One answer, and it does.
+    w.wait(2_000);
+    w.tick();
+    let direct = |c: &Command| matches!(c, Command::Direct { .. });
+    let at = w.commands.iter().position(direct).expect("a message");
+    if let Command::Direct { machine, token, session, calls, .. } = w.commands.remove(at) {
+        w.deliver(machine, token, session, &calls);
+    }
+    assert!(!w.leader.reaches_no_worker(w.now));
+}
--- a/crates/walnutlug/src/node/lead.rs
+++ b/crates/walnutlug/src/node/lead.rs
@@ -479,7 +479,9 @@
             let now = node.now();
             let mut guard = node.scheduler.borrow_mut();
             let Some(s) = guard.as_mut() else { return };
-            if node.workers_go_elsewhere() && s.deaf(now) {
+            let cut_off = (node.workers_go_elsewhere() && s.deaf(now))
+                || (node.serving.has_followers() && s.reaches_no_worker(now));
+            if cut_off {
                 drop(guard);
                 // Cut off from the workers while they reach another node: leading from here
                 // serves nobody. Another may, and this one holds back for a while.
--- a/crates/walnutlug/src/serving.rs
+++ b/crates/walnutlug/src/serving.rs
@@ -107,6 +107,11 @@
         }
     }
 
+    /// Whether other nodes hold workers' connections now.
+    pub fn has_followers(&self) -> bool {
+        self.followers.borrow().iter().any(|follower| follower.is_fresh() && follower.workers > 0)
+    }
+
     /// The node to which the worker should report instead, if this one has more than its part.
     pub fn another_node_for(&self, report_bytes: usize) -> Option<String> {
         // A longer report would come back: followers don't pass it on.
