Lives of the other nodes are known before the records are read

Cause: a follower had not met the others' lives before it led, so their first vouches counted as those of new lives and for nothing until its watch returned.

--- a/crates/core/src/watermark.rs
+++ b/crates/core/src/watermark.rs
@@ -177,6 +177,14 @@
         Some(stream)
     }
 
+    /// Another node is heard, in that life of it. A node that comes to lead has to know the lives of the
+    /// others from before it reads the records. (Met first with their first vouches, after the records
+    /// were read, they vouched for nothing until the next read; a leader elected just before an outage
+    /// let all leases run out in it.)
+    pub fn heard(&mut self, now: Time, node: &str, life: u64) {
+        self.stream(now, node, life);
+    }
+
     /// A part of another node's log has come, beginning with that number. What to acknowledge.
     pub fn told(&mut self, now: Time, node: &str, life: u64, first: u64, n: u64) -> Option<u64> {
         let stream = self.stream(now, node, life)?;
--- a/crates/core/tests/cancellations.rs
+++ b/crates/core/tests/cancellations.rs
@@ -482,3 +482,31 @@
     w.workers.get_mut("n-1").expect("worker").answered(1, token, &calls);
     assert!(w.places_of(&format!("{JOB}/0")).is_empty(), "renewed without a kill");
 }
+
+/// A leader elected just before an outage for all has read its records, and its watch has not returned yet.
+#[test]
+fn lives_known_before_the_records_were_read_vouch_at_once() {
+    let at = |s: u64| Time((1 << 40) + s * 1_000_000);
+    for (heard_at, counts) in [(Some(1), true), (None, false), (Some(4), false)] {
+        let mut watermark = Watermark::new(["b".to_owned()]);
+        if let Some(s) = heard_at {
+            watermark.heard(at(s), "b", 7);
+        }
+        watermark.read(at(3));
+        for (number, s) in (5..25).enumerate() {
+            watermark.ask(at(s), number as u64);
+            watermark.vouch(at(s), "b", 7, 0, number as u64);
+        }
+        let until = if counts { at(24) } else { at(3) };
+        assert_eq!(watermark.until(at(25)), until, "first heard at {heard_at:?}");
+        // A new life vouches for nothing before the next read, however it is met.
+        watermark.heard(at(26), "b", 8);
+        watermark.ask(at(27), 100);
+        watermark.vouch(at(27), "b", 8, 0, 100);
+        assert_eq!(watermark.until(at(28)), until, "a new life");
+        watermark.read(at(26));
+        watermark.ask(at(29), 101);
+        watermark.vouch(at(29), "b", 8, 0, 101);
+        assert_eq!(watermark.until(at(30)), at(29), "after the next read");
+    }
+}
--- a/crates/walnutlug/src/node.rs
+++ b/crates/walnutlug/src/node.rs
@@ -355,6 +355,7 @@
                     }
                     return;
                 }
+                self.watermark.borrow_mut().heard(self.now(), &name, life);
                 if states.len() < 64 || states.contains_key(&name) {
                     states.insert(name, state);
                 }
