Limits for fleets of 4,200 machines follow from the sockets; questions rotate

Need: the service also runs at about 4,000 machines. Checked and far higher: addresses 50,000, list 50,000, marks 20,000, cancellations 4,096 within a minute, frames split into parts (120 machines, 150 entries), Lua limits, response bodies 16 MiB. Ruled out: larger constants alone, which the next size would meet again. Tests: core at 4,200 machines (start, take-over, every machine changing, an outage's catch-up; looks, messages, transactions, bytes), the program's queues with 4,200 reports at once. The registry held 6.7 MB for 4,200 machines and 16,800 tasks.

--- a/crates/core/src/commands.rs
+++ b/crates/core/src/commands.rs
@@ -27,8 +27,14 @@
         for &ix in &noted {
             self.machines[ix as usize].noted = false;
         }
-        let all = if sweep { 0..self.machines.len() } else { 0..0 };
+        // A sweep goes on where the questions of the last one ended. (Begun with the first machine each
+        // time, the machines before some two thousandth were asked again, being overdue, before the others
+        // were asked at all.)
+        let count = self.machines.len();
+        let from = self.questions_from.min(count);
+        let all = if sweep { (from..count).chain(0..from) } else { (0..0).chain(0..0) };
         let noted = noted.into_iter().map(|ix| ix as usize).filter(|_| !sweep);
+        let mut all_asked = true;
         for ix in all.chain(noted) {
             self.looked_at_to_send += 1;
             let m = &self.machines[ix];
@@ -61,6 +67,10 @@
             // Mere questions are paced: at a take-over the whole fleet is asked.
             let ask_later =
                 m.outbox.is_empty() && starts.is_empty() && self.under_way >= most_questions;
+            if sweep && ask_later && all_asked && (unseen || missed) {
+                all_asked = false;
+                self.questions_from = ix;
+            }
             if ask_later
                 || !can_send
                 || (m.outbox.is_empty() && starts.is_empty() && !unseen && !missed)
--- /dev/null
+++ b/crates/core/tests/size.rs
@@ -0,0 +1,193 @@
+//! The scheduler at 4,200 machines: what a start, a take-over, a change of every machine at once and the end
+//! of an outage cost, in entries looked at, messages, transactions and bytes kept.
+
+mod world;
+
+use std::alloc::System;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use stats_alloc::{Region, StatsAlloc, INSTRUMENTED_SYSTEM};
+use walnutlug_core::job::JobSpec;
+use walnutlug_core::registry::{Command, Outcome, Scheduler};
+use walnutlug_core::task::Phase;
+use world::{spec, World};
+
+/// Counts what the tests of this file allocate.
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+const MACHINES: usize = 4_200;
+const TASKS_EACH: usize = 4;
+const JOBS: usize = 84;
+const TASKS_OF_A_JOB: u32 = 200;
+/// What the registry may take for a machine with its tasks; when this was written it took 1,592.
+const MOST_BYTES_A_MACHINE: usize = 2_000;
+
+/// The tests run one at a time, since the allocator counts for all of them.
+fn alone() -> MutexGuard<'static, ()> {
+    static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+    ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn machine_names() -> Vec<String> {
+    (0..MACHINES).map(|i| format!("n-{i:06}")).collect()
+}
+
+fn job_name(index: usize) -> String {
+    format!("req-{index:06}")
+}
+
+/// A fleet of which every machine is full.
+fn full_fleet() -> World {
+    let names = machine_names();
+    let machines: Vec<(&str, &str)> = names.iter().map(|n| (n.as_str(), "a")).collect();
+    let mut world = World::new(&machines);
+    for index in 0..JOBS {
+        world.submit(&job_name(index), &JobSpec { cpus: 2.0, ..spec(TASKS_OF_A_JOB) });
+    }
+    for _ in 0..40 {
+        world.settle();
+    }
+    world
+}
+
+fn running(world: &World) -> usize {
+    world.workers.values().map(|worker| worker.live().len()).sum()
+}
+
+#[test]
+fn every_machine_is_used_at_a_bounded_cost_in_looks_and_bytes() {
+    let _alone = alone();
+    let names = machine_names();
+    let machines: Vec<(&str, &str)> = names.iter().map(|n| (n.as_str(), "a")).collect();
+    let mut world = World::new(&machines);
+    let before_jobs = world.leader.looked_at;
+    for index in 0..JOBS {
+        world.submit(&job_name(index), &JobSpec { cpus: 2.0, ..spec(TASKS_OF_A_JOB) });
+    }
+    world.tick();
+    let looked_at = world.leader.looked_at - before_jobs;
+    assert!(looked_at <= (JOBS * MACHINES) as u64, "a job looks at each machine once: {looked_at}");
+    for _ in 0..40 {
+        world.settle();
+    }
+    assert_eq!(running(&world), MACHINES * TASKS_EACH);
+    let empty = Scheduler::new(
+        world.leader.site.clone(),
+        world.leader.tun.clone(),
+        world.leader.term,
+        Vec::new(),
+        world.now,
+    );
+    let leader = std::mem::replace(&mut world.leader, empty);
+    let region = Region::new(ALLOCATOR);
+    drop(leader);
+    let held = region.change().bytes_deallocated;
+    assert!(held < MACHINES * MOST_BYTES_A_MACHINE, "{held} bytes for {MACHINES} machines");
+}
+
+#[test]
+fn a_new_leader_hears_of_every_machine_in_bounded_parts() {
+    let _alone = alone();
+    let mut world = full_fleet();
+    world.take_over();
+    for name in machine_names() {
+        world.leader.hint_address(world.now, &name, "10.0.0.1:1");
+    }
+    let most_under_way = world.leader.site.most_messages;
+    let token = world.token_now();
+    let mut messages = 0;
+    for round in 0.. {
+        let heard = world.leader.machines.iter().filter(|m| m.seen_token >= token).count();
+        assert!(round < 120, "{heard} are heard after {round} rounds, {messages} messages");
+        world.wait(150);
+        world.tick();
+        let commands = std::mem::take(&mut world.commands);
+        let direct = commands.iter().filter(|c| matches!(c, Command::Direct { .. })).count();
+        assert!(direct <= most_under_way, "{direct} messages at once");
+        messages += direct;
+        for command in commands {
+            match command {
+                Command::Direct { machine, token, session, calls, .. } => {
+                    world.deliver(machine, token, session, &calls);
+                }
+                Command::Commit { id, txn } => {
+                    let outcome = world.store.apply(&txn);
+                    world.leader.txn_answer(world.now, id, outcome);
+                }
+                _ => {}
+            }
+        }
+        if world.leader.machines.iter().all(|machine| machine.seen_token >= token) {
+            break;
+        }
+    }
+    assert!(messages <= 3 * MACHINES, "{messages} messages");
+    assert_eq!(running(&world), MACHINES * TASKS_EACH, "nothing was stopped or started anew");
+}
+
+#[test]
+fn a_change_on_every_machine_at_once_looks_at_each_a_few_times() {
+    let _alone = alone();
+    let mut world = full_fleet();
+    let places = world.places();
+    let mut changed = std::collections::BTreeSet::new();
+    for (task, machines) in &places {
+        if changed.insert(machines[0].clone()) {
+            world.finish(&machines[0], task);
+        }
+    }
+    assert_eq!(changed.len(), MACHINES);
+    let (looks, written) = (world.leader.looked_at_to_send, world.store.growth);
+    world.all_report();
+    world.tick();
+    let looked = world.leader.looked_at_to_send - looks;
+    assert!(looked <= 3 * MACHINES as u64, "{looked} looks for {MACHINES} reports");
+    for _ in 0..10 {
+        world.wait(1_000);
+        world.settle();
+    }
+    let chunks: usize = world.leader.jobs.values().map(|job| job.chunks.len()).sum();
+    let written = (world.store.growth - written) as usize;
+    assert!(written <= 2 * chunks, "{written} transactions for {chunks} records");
+    let recorded: usize = world.leader.jobs.values().map(|job| job.done as usize).sum::<usize>();
+    assert_eq!(recorded, MACHINES);
+}
+
+#[test]
+fn what_ended_in_an_outage_is_caught_up_in_few_transactions() {
+    let _alone = alone();
+    let mut world = full_fleet();
+    let refuse = |world: &mut World| {
+        world.tick();
+        for command in std::mem::take(&mut world.commands) {
+            if let Command::Commit { id, .. } = command {
+                world.leader.txn_answer(world.now, id, Outcome::Refused);
+            }
+        }
+    };
+    for (task, machines) in world.places() {
+        world.finish(&machines[0], &task);
+    }
+    for _ in 0..40 {
+        world.wait(500);
+        world.all_report();
+        refuse(&mut world);
+    }
+    assert_eq!(running(&world), 0);
+    let chunks: usize = world.leader.jobs.values().map(|job| job.chunks.len()).sum();
+    let written = world.store.growth;
+    for _ in 0..60 {
+        world.wait(500);
+        world.all_report();
+        world.settle();
+    }
+    let ended = (0..JOBS).filter(|&index| world.end(&job_name(index)).is_some()).count();
+    assert_eq!(ended, JOBS, "every job is recorded as done");
+    let all_done = |job: &walnutlug_core::registry::Job| {
+        job.tasks.iter().all(|task| task.phase == Phase::Done)
+    };
+    assert!(world.leader.jobs.values().all(all_done));
+    let written = (world.store.growth - written) as usize;
+    assert!(written <= 2 * chunks + 2 * JOBS, "{written} transactions for {chunks} records");
+}
--- a/crates/walnutlug/src/node.rs
+++ b/crates/walnutlug/src/node.rs
@@ -41,9 +41,15 @@
 const ADDRESS_TURN: usize = 6;
 /// Addresses remembered: many times those of any fleet, at some forty bytes each.
 const MOST_ADDRESSES: usize = 50_000;
-/// Messages that wait for another node: a status, some addresses and the progress of every open job
-/// each second. What finds no place is only a hint lost.
-const PEER_QUEUE: usize = 2_048;
+/// Messages that wait for another node beside its workers' reports: a status, some addresses and the
+/// progress of every open job each second. What finds no place is only a hint lost.
+const PEER_HINTS: usize = 2_048;
+
+/// Messages that may wait for another node: in a burst the reports on all of a node's connections, or the
+/// answers to as many, and the hints.
+pub(crate) fn peer_queue(sockets: Sockets) -> usize {
+    sockets.inbound as usize + PEER_HINTS
+}
 
 /// What another node last said of itself.
 struct PeerState {
@@ -144,7 +150,11 @@
             user_api: users::UserApi::default(),
             new_work: Notify::new(),
             redirected: Cell::new(0),
-            serving: Serving::new(&settings.site, settings.peers.len()),
+            serving: Serving::new(
+                &settings.site,
+                settings.peers.len(),
+                Sockets::share(settings.fd_limit).inbound as usize,
+            ),
             submit_times: RefCell::new(histogram),
             wake: Notify::new(),
             step_down: Notify::new(),
@@ -490,7 +500,7 @@
     let mut peer_queues = Vec::new();
     for peer in &settings.peers {
         debug!(peer = %peer.name, "peer");
-        let (queue, rx) = mpsc::channel(PEER_QUEUE);
+        let (queue, rx) = mpsc::channel(peer_queue(sockets));
         peer_queues.push(queue);
         tokio::task::spawn_local(peers::talk(peer.addr, rx));
     }
--- a/crates/walnutlug/src/node/lead.rs
+++ b/crates/walnutlug/src/node/lead.rs
@@ -443,6 +443,7 @@
     let every = Duration::from_micros(node.site.list_lag.0 / 2)
         .clamp(Duration::from_secs(3), Duration::from_secs(10));
     while leads(&node, term) {
+        let asked = Instant::now();
         let pause = match node.cloud.list().await {
             Ok(list) => {
                 let now = node.now();
@@ -450,7 +451,8 @@
                     s.machine_list(now, &list);
                 }
                 node.pump();
-                every
+                // The pages of a large fleet's list leave half of the cloud's rate to rentals and returns.
+                every.max(asked.elapsed())
             }
             Err(_) => Duration::from_secs(2),
         };
--- a/crates/walnutlug/src/node/tests.rs
+++ b/crates/walnutlug/src/node/tests.rs
@@ -132,7 +132,11 @@
 
 /// A leader of a task that runs, and two other nodes, each heard by all and vouched for.
 pub async fn leader_with_a_task(store: &StandIn) -> Cluster {
-    let mut c = store.cluster(3);
+    lead_with_a_task(store, store.cluster(3)).await
+}
+
+/// The same with the nodes given.
+pub async fn lead_with_a_task(store: &StandIn, mut c: Cluster) -> Cluster {
     store.put(&keys::job(JOB), serde_json::json!(1));
     let node = c.nodes[0].clone();
     let mut s = Scheduler::new(
@@ -175,6 +179,14 @@
     (status, calls)
 }
 
+/// The report of a worker without tasks.
+pub fn idle_report(machine: &str, seq: u64) -> String {
+    let report = serde_json::json!({"tree": machine, "address": "10.0.0.1:1", "breed": "t8",
+        "grove": "east", "windfall": true, "season": 1, "ring": seq, "staff": 0, "shakeS": null,
+        "nuts": []});
+    report.to_string()
+}
+
 /// The report of a worker that runs the task and has seen the token.
 pub fn report_of(seq: u64, token: u64) -> String {
     let report = serde_json::json!({"tree": "n-1", "address": "10.0.0.1:1", "breed": "t8",
--- a/crates/walnutlug/src/serving.rs
+++ b/crates/walnutlug/src/serving.rs
@@ -27,12 +27,12 @@
 const ASK_EVERY: u32 = 2;
 /// How long the leader may take to answer a report; the worker waits for four seconds.
 const ANSWER_WITHIN: Duration = Duration::from_secs(3);
-/// Reports that may wait for the leader at once.
-const MOST_WAITING: usize = 1_000;
 /// A follower that has not asked for so long is sent no workers.
 const FOLLOWER_FRESH: Duration = Duration::from_millis(2_500);
-/// Workers that a node sends elsewhere in a second, at most.
-const MOST_MOVED: u32 = 40;
+/// Workers that a node of a small fleet sends elsewhere in a second, at most.
+const LEAST_MOVED: u32 = 40;
+/// Seconds in which a large fleet can be spread anew.
+const SPREAD_WITHIN: u32 = 60;
 /// The leader's part of the workers is this many times smaller than a follower's.
 const LEADER_LIGHTER: u32 = 3;
 /// Workers beyond a node's part that are left where they are.
@@ -86,6 +86,8 @@
     pub workers: Rc<Cell<u32>>,
     leader: RefCell<ServedLeader>,
     waiting: RefCell<HashMap<u64, oneshot::Sender<ForwardedAnswer>>>,
+    /// Reports that may wait for the leader at once.
+    most_waiting: usize,
     last_forwarded: Cell<u64>,
     heard: RefCell<Vec<Heard>>,
     /// By the place of the node among the peers.
@@ -94,12 +96,14 @@
 }
 
 impl Serving {
-    /// With nothing granted and no followers.
-    pub fn new(site: &Site, peers: usize) -> Serving {
+    /// With nothing granted and no followers. Each connection has at most one report under way, so as
+    /// many may wait as there may be connections: after an outage every report differs from the last.
+    pub fn new(site: &Site, peers: usize, most_waiting: usize) -> Serving {
         Serving {
             workers: Rc::default(),
             leader: RefCell::new(ServedLeader::new(site)),
             waiting: RefCell::default(),
+            most_waiting,
             last_forwarded: Cell::new(0),
             heard: RefCell::default(),
             followers: RefCell::new(vec![Follower::default(); peers]),
@@ -136,7 +140,7 @@
     let serving = &node.serving;
     let term = serving.leader.borrow().may_forward(node.now())?;
     let leader = node.leader_under(term)?;
-    if body.len() > MOST_CARRIED || serving.waiting.borrow().len() >= MOST_WAITING {
+    if body.len() > MOST_CARRIED || serving.waiting.borrow().len() >= serving.most_waiting {
         return None;
     }
     let number = serving.last_forwarded.get() + 1;
@@ -336,6 +340,8 @@
     leader: u32,
     follower: u32,
     fewest: usize,
+    /// Workers that the leader may move in a second.
+    most_moved: u32,
 }
 
 fn parts(node: &Node) -> Option<Parts> {
@@ -346,14 +352,19 @@
     let held: u32 = fresh().map(|(_, follower)| follower.workers).sum();
     let all = held + node.serving.workers.get();
     let leader = all / (LEADER_LIGHTER * count + 1);
-    Some(Parts { leader, follower: (all - leader) / count, fewest })
+    Some(Parts { leader, follower: (all - leader) / count, fewest, most_moved: most_moved(all) })
+}
+
+/// How many of all workers a node moves in a second: few, but the largest fleet is spread in a minute.
+fn most_moved(all: u32) -> u32 {
+    (all / SPREAD_WITHIN).max(LEAST_MOVED)
 }
 
 /// The leader sends some of its own workers to the follower that has fewest.
 fn balance(node: &Node) {
     let moving = parts(node).and_then(|parts| {
         let beyond = node.serving.workers.get().checked_sub(parts.leader)?;
-        (beyond > LEFT_ALONE).then_some((beyond.min(MOST_MOVED), parts.fewest))
+        (beyond > LEFT_ALONE).then_some((beyond.min(parts.most_moved), parts.fewest))
     });
     match moving {
         Some((workers, to)) => {
@@ -375,7 +386,7 @@
     {
         return (0, None);
     }
-    let spare = (beyond / 2).min(MOST_MOVED / 2) as u16;
+    let spare = (beyond / 2).min(parts.most_moved / 2).min(u32::from(u16::MAX)) as u16;
     (spare, Some(node.settings.peers[parts.fewest].name.clone()))
 }
 
--- a/crates/walnutlug/src/serving/tests.rs
+++ b/crates/walnutlug/src/serving/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
-use crate::node::tests::{leader_with_a_task, report_of, JOB};
+use crate::node::tests::{idle_report, lead_with_a_task, leader_with_a_task, report_of, JOB};
+use crate::settings::Sockets;
 use crate::users;
 use crate::users::stand_in::{Cluster, Fault, StandIn};
 use walnutlug_core::job::End;
@@ -31,7 +32,11 @@
 
 /// Node 0 leads and has a running task; node 1 was granted its share of the workers.
 async fn served(store: &StandIn) -> Cluster {
-    let mut c = leader_with_a_task(store).await;
+    let cluster = leader_with_a_task(store).await;
+    grant_a_share(cluster).await
+}
+
+async fn grant_a_share(mut c: Cluster) -> Cluster {
     ask(&c.nodes[1]);
     for _ in 0..4 {
         c.deliver(|_, _| true).await;
@@ -186,16 +191,17 @@
         let store = StandIn::default();
         let c = served(&store).await;
         let node = c.nodes[1].clone();
+        let most = Sockets::share(node.settings.fd_limit).inbound as usize;
         let ask = |node: Rc<Node>| async move {
             let body = report_of(1, 0);
             workers::report(&node, &WorkerConnection::default(), body.as_bytes()).await
         };
         let waiting: Vec<_> =
-            (0..MOST_WAITING).map(|_| tokio::task::spawn_local(ask(node.clone()))).collect();
+            (0..most).map(|_| tokio::task::spawn_local(ask(node.clone()))).collect();
         for _ in 0..100 {
             tokio::task::yield_now().await;
         }
-        assert_eq!(node.serving.waiting.borrow().len(), MOST_WAITING);
+        assert_eq!(node.serving.waiting.borrow().len(), most);
         let began = Instant::now();
         assert_eq!(ask(node.clone()).await.status, 421);
         assert_eq!(began.elapsed(), Duration::ZERO);
@@ -211,6 +217,56 @@
     tokio::task::LocalSet::new().run_until(test).await;
 }
 
+/// All workers of a fleet of 4,200 report something new to one follower at once: none is sent away, and no
+/// frame finds the queue full. (At most 1,000 reports waited once, whatever the settings said.)
+#[tokio::test(start_paused = true)]
+async fn a_burst_of_reports_from_4_200_workers_waits_for_the_leader() {
+    const WORKERS: usize = 4_200;
+    const MOST_FRAME_BYTES: usize = 600;
+    let test = async {
+        let store = StandIn::default();
+        let mut settings = crate::settings::tests::sample();
+        settings["facts"]["resources"]["fd_limit"] = serde_json::json!(WORKERS * 3 / 2);
+        let cluster = store.cluster_of(3, &settings);
+        let mut c = grant_a_share(lead_with_a_task(&store, cluster).await).await;
+        let node = c.nodes[1].clone();
+        let ask = |machine: usize| {
+            let node = node.clone();
+            async move {
+                let body = idle_report(&format!("n-{machine:06}"), 1);
+                let connection = WorkerConnection::default();
+                workers::report(&node, &connection, body.as_bytes()).await.status
+            }
+        };
+        let waiting: Vec<_> = (0..WORKERS).map(|i| tokio::task::spawn_local(ask(i))).collect();
+        for _ in 0..100 {
+            tokio::task::yield_now().await;
+        }
+        assert_eq!(node.serving.waiting.borrow().len(), WORKERS);
+        let frames = c.take(1, 0).await;
+        let bytes: usize = frames.iter().map(|frame| frame.encode().len()).sum();
+        assert!(bytes <= WORKERS * MOST_FRAME_BYTES, "{bytes} bytes wait");
+        let reports = frames.iter().filter(|f| matches!(f, Frame::ForwardedReport(_))).count();
+        assert_eq!(reports, WORKERS, "each in a frame of its own");
+        for frame in frames {
+            c.nodes[0].peer_frame(frame);
+        }
+        c.deliver(|_, _| true).await;
+        for one in waiting {
+            assert_eq!(one.await.expect("an answer"), 200);
+        }
+        assert!(node.serving.waiting.borrow().is_empty());
+    };
+    tokio::task::LocalSet::new().run_until(test).await;
+}
+
+/// Workers are spread anew within a minute, whatever their number.
+#[test]
+fn more_workers_are_moved_where_there_are_more() {
+    assert_eq!(most_moved(500), LEAST_MOVED);
+    assert_eq!(most_moved(4_200), 70);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_new_life_of_a_follower_answers_nothing_of_its_former_ones_marks() {
     let test = async {
--- a/crates/walnutlug/src/users/stand_in.rs
+++ b/crates/walnutlug/src/users/stand_in.rs
@@ -13,9 +13,9 @@
 use walnutlug_core::wire::{Change, MachineType, Txn};
 
 use crate::http::client::{Answering, Client, Failure, Response};
-use crate::node::Node;
+use crate::node::{peer_queue, Node};
 use crate::peers::{read_frame, Frame};
-use crate::settings::{tests::sample, Settings};
+use crate::settings::{tests::sample, Settings, Sockets};
 
 #[derive(Clone, Copy, PartialEq)]
 pub enum Fault {
@@ -111,10 +111,17 @@
 
     /// Nodes that ask this store and whose frames to each other the test holds.
     pub fn cluster(&self, n: usize) -> Cluster {
+        self.cluster_of(n, &sample())
+    }
+
+    /// The same with the settings given, but for names and peers.
+    pub fn cluster_of(&self, n: usize, common: &Value) -> Cluster {
         let name = |i: usize| format!("kernel-{i}");
         let mut cluster = Cluster { nodes: Vec::new(), wires: Vec::new() };
+        let fd_limit = common["facts"]["resources"]["fd_limit"].as_u64().expect("a limit") as u32;
+        let most_waiting = peer_queue(Sockets::share(fd_limit));
         for i in 0..n {
-            let mut settings = sample();
+            let mut settings = common.clone();
             let others = (0..n).filter(|&j| j != i);
             let peer = |j: usize| {
                 let addr = format!("127.0.0.1:{}", 100 + j);
@@ -124,7 +131,7 @@
             settings["peers"] = others.clone().map(peer).collect();
             let mut queues = Vec::new();
             for to in others {
-                let (queue, wire) = mpsc::channel(1_000);
+                let (queue, wire) = mpsc::channel(most_waiting);
                 queues.push(queue);
                 cluster.wires.push((i, to, wire));
             }
