--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -130,6 +130,8 @@
 /// Refusals in a row that lengthen the pause before an offer is tried again: 16 s at most, since the
 /// cloud takes machines back all the time and then has them to give.
 const MOST_REFUSALS: u32 = 2;
+/// How long nothing is rented after the cloud gave no usable answer.
+const CLOUD_PAUSE: Span = Span::secs(2);
 const RETURN_RETRY: Span = Span::secs(6);
 
 impl Scheduler {
@@ -562,6 +564,28 @@
         }
     }
 
+    /// A former leader recorded that the machine is returned. Nothing is placed there, and what is on it
+    /// is there until the return is answered.
+    pub fn adopt_return(&mut self, now: Time, name: &str) {
+        let ix = self.machine_named(now, name);
+        let machine = &mut self.machines[ix as usize];
+        machine.state = MachineState::Returning;
+        machine.return_sent = Some(now);
+        self.unsettle(ix);
+    }
+
+    /// A former leader recorded that it rents these machines, and whether they came isn't known yet.
+    pub fn adopt_rental(&mut self, kind: &str, zone: &str, spot: bool, count: u32) {
+        if let Some(kind) = self.types.iter().position(|t| t.name == kind) {
+            *self.fleet.asking.entry((kind, zone.to_owned(), spot)).or_default() += count;
+        }
+    }
+
+    /// The cloud gives no usable answers: nothing more is asked for during a moment.
+    pub fn cloud_in_trouble(&mut self, now: Time) {
+        self.fleet.down_until = now + CLOUD_PAUSE;
+    }
+
     /// What was given back is to be had again, whatever was refused before. (After a cut of a zone
     /// half the fleet had been given back, and nothing was rented there for half a minute.)
     fn reopen_offer(&mut self, name: &str) {
@@ -590,7 +614,7 @@
         let got = match answer {
             Ok(names) => names,
             Err(()) => {
-                self.fleet.down_until = now + Span::secs(2);
+                self.cloud_in_trouble(now);
                 return;
             }
         };
--- a/crates/core/src/tunables.rs
+++ b/crates/core/src/tunables.rs
@@ -54,6 +54,8 @@
     pub chain_step: Span,
     /// Most transactions of the leader under way at once.
     pub txns_in_flight: u32,
+    /// Whether rentals and returns are recorded before they are sent, and duties held under leases.
+    pub fenced_duties: bool,
 }
 
 impl Default for Tunables {
@@ -81,6 +83,7 @@
             evidence_delay: Span::secs(4),
             chain_step: Span::secs(5),
             txns_in_flight: 4,
+            fenced_duties: false,
         }
     }
 }
--- /dev/null
+++ b/crates/duties/src/balance.rs
@@ -0,0 +1,55 @@
+//! Which node should hold a duty that any node may hold.
+//!
+//! The leader has the most to do, so such a duty is better held by another node. A change of hands costs some
+//! seconds without a holder, so it is made only when there has been a better node for a while. Nothing but
+//! cost depends on this: whoever holds a duty, its epoch fences all others.
+
+use walnutlug_core::time::{Span, Time};
+
+/// For how long another node has to be the better holder before the duty is handed over.
+const HAND_OVER_AFTER: Span = Span::secs(30);
+/// How much later than others the leader tries to take a duty that nobody holds.
+const LEADER_WAITS: Span = Span::secs(3);
+
+/// How a node stands, as far as the balance looks at it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Standing {
+    /// It leads.
+    pub leads: bool,
+    /// The state service answers it.
+    pub served: bool,
+}
+
+/// Decides at one node when to take and when to give up a duty.
+#[derive(Debug, Default)]
+pub struct Balance {
+    vacant_since: Option<Time>,
+    better_since: Option<Time>,
+}
+
+impl Balance {
+    /// Nobody holds the duty. Whether this node should try to take it now.
+    pub fn should_take(&mut self, now: Time, own: Standing) -> bool {
+        self.better_since = None;
+        let since = *self.vacant_since.get_or_insert(now);
+        let wait = if own.leads { LEADER_WAITS } else { Span::ZERO };
+        own.served && now.since(since) >= wait
+    }
+
+    /// Somebody holds the duty.
+    pub fn taken(&mut self) {
+        self.vacant_since = None;
+    }
+
+    /// This node holds the duty. Whether it should give it up for one of the others.
+    pub fn should_hand_over(&mut self, now: Time, own: Standing, others: &[Standing]) -> bool {
+        self.vacant_since = None;
+        let better = own.leads && others.iter().any(|other| other.served && !other.leads);
+        if !better {
+            self.better_since = None;
+            return false;
+        }
+        let since = *self.better_since.get_or_insert(now);
+        now.since(since) >= HAND_OVER_AFTER
+    }
+}
--- /dev/null
+++ b/crates/duties/src/duty.rs
@@ -0,0 +1,215 @@
+//! Which duties there are, who holds one, and the epoch under which it is held.
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use walnutlug_core::job::keys;
+use walnutlug_core::wire::{Guard, Pair};
+
+/// Prefix of the keys that name the holders.
+pub const DUTY_PREFIX: &str = "duty/";
+
+/// The newest format of a holder's record that this version reads and the one that it writes.
+pub const HOLDER_FORMAT: u64 = 1;
+
+/// Work with one owner at a time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Duty {
+    /// Renting and returning machines, and adopting those that nobody expected. What it decides follows
+    /// from the registry of the leader, so it goes with the lead: one key, one lease, and the term is the
+    /// epoch.
+    Fleet,
+    /// Reading the machine types and prices from the cloud and sharing them with all nodes.
+    MachineTypes,
+}
+
+impl Duty {
+    /// All of them.
+    pub const ALL: [Duty; 2] = [Duty::Fleet, Duty::MachineTypes];
+
+    /// Its name in stored keys.
+    pub fn name(self) -> &'static str {
+        match self {
+            Duty::Fleet => "fleet",
+            Duty::MachineTypes => "machine-types",
+        }
+    }
+
+    /// The duty of that name, if this version knows it.
+    pub fn from_name(name: &str) -> Option<Duty> {
+        Duty::ALL.into_iter().find(|duty| duty.name() == name)
+    }
+
+    /// The key that exists for as long as somebody holds the duty. Its revision is the epoch.
+    pub fn key(self) -> String {
+        match self {
+            Duty::Fleet => keys::LEADER.to_owned(),
+            Duty::MachineTypes => format!("{DUTY_PREFIX}{}", self.name()),
+        }
+    }
+}
+
+/// Tells one holding of a duty from all others. It is the revision of the duty's key, as the term is the
+/// revision of the leader's: revisions of the state service only rise.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Epoch(u64);
+
+/// Why a revision can't serve as an epoch. Each stops the duty at this node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum EpochError {
+    /// No key has this revision.
+    #[error("epoch 0 is none")]
+    Zero,
+    /// Above what a term may be, so that tokens made of it would not rise any more.
+    #[error("epoch {0} is beyond the limit {limit}", limit = Epoch::LIMIT)]
+    AtLimit(u64),
+    /// A higher one was in use: the state service lost what it had stored.
+    #[error("epoch {found} went back: {known} was in use before")]
+    WentBack {
+        /// The epoch that was found now.
+        found: u64,
+        /// The highest one known.
+        known: u64,
+    },
+}
+
+impl Epoch {
+    /// The largest epoch. Workers' tokens keep 44 bits for a term, which is a revision too.
+    pub const LIMIT: u64 = (1 << 44) - 1;
+
+    /// The epoch of a key with that revision.
+    pub fn from_revision(revision: u64) -> Result<Epoch, EpochError> {
+        match revision {
+            0 => Err(EpochError::Zero),
+            1..=Epoch::LIMIT => Ok(Epoch(revision)),
+            _ => Err(EpochError::AtLimit(revision)),
+        }
+    }
+
+    /// As a revision of the state service.
+    pub fn revision(self) -> u64 {
+        self.0
+    }
+
+    /// Refuses an epoch that is not above one known to have been in use.
+    pub fn must_follow(self, known: Option<Epoch>) -> Result<Epoch, EpochError> {
+        match known {
+            Some(known) if known >= self => {
+                Err(EpochError::WentBack { found: self.0, known: known.0 })
+            }
+            _ => Ok(self),
+        }
+    }
+}
+
+impl std::fmt::Display for Epoch {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// The stored record of who holds a duty.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HolderRecord {
+    /// The record's format.
+    pub format: u64,
+    /// The node's name.
+    pub node: String,
+    /// Tells this life of the node's process from its former ones.
+    #[serde(rename = "inc")]
+    pub incarnation: String,
+    /// The lease that the key is attached to, so that the node itself, back in time, can end it.
+    pub lease: u64,
+}
+
+/// A stored record that this version can't act on. Such a record is left as it is.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum RecordError {
+    /// Not of the form that any version writes.
+    #[error("{key}: can't be read: {fault}")]
+    Unreadable {
+        /// Where it is stored.
+        key: String,
+        /// What is wrong with it.
+        fault: String,
+    },
+    /// Written by a newer version.
+    #[error("{key}: is of format {found}, and this version reads up to {newest}")]
+    NewerFormat {
+        /// Where it is stored.
+        key: String,
+        /// Its format.
+        found: u64,
+        /// The newest format that this version reads.
+        newest: u64,
+    },
+    /// Of a duty that this version doesn't have.
+    #[error("{key}: no such duty is known")]
+    UnknownDuty {
+        /// Where it is stored.
+        key: String,
+    },
+    /// Held by a node that the settings don't name.
+    #[error("{key}: held by {node:?}, which the settings don't name")]
+    UnknownHolder {
+        /// Where it is stored.
+        key: String,
+        /// The holder's name.
+        node: String,
+    },
+    /// Its epoch is none.
+    #[error("{key}: {error}")]
+    Epoch {
+        /// Where it is stored.
+        key: String,
+        /// What is wrong with it.
+        error: EpochError,
+    },
+}
+
+/// Reads the format number of a stored record, so that a newer one is told from a damaged one.
+pub(crate) fn check_format(key: &str, value: &Value, newest: u64) -> Result<(), RecordError> {
+    let unreadable = |fault: &str| RecordError::Unreadable { key: key.into(), fault: fault.into() };
+    let format = value.get("format").ok_or_else(|| unreadable("format is missing"))?;
+    match format.as_u64() {
+        Some(found) if found > newest => {
+            Err(RecordError::NewerFormat { key: key.to_owned(), found, newest })
+        }
+        Some(1..) => Ok(()),
+        _ => Err(unreadable("format must be a whole number from 1")),
+    }
+}
+
+/// Who holds which duty under what epoch.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Holding {
+    /// The duty.
+    pub duty: Duty,
+    /// Its epoch.
+    pub epoch: Epoch,
+    /// The holder.
+    pub holder: HolderRecord,
+}
+
+impl Holding {
+    /// Reads a stored holder; `nodes` are the names in the settings.
+    pub fn read(pair: &Pair, nodes: &[&str]) -> Result<Holding, RecordError> {
+        let key = || pair.key.clone();
+        let name = pair.key.strip_prefix(DUTY_PREFIX);
+        let duty = name.and_then(Duty::from_name);
+        let duty = duty.ok_or_else(|| RecordError::UnknownDuty { key: key() })?;
+        check_format(&pair.key, &pair.value, HOLDER_FORMAT)?;
+        let holder: HolderRecord = serde_json::from_value(pair.value.clone())
+            .map_err(|e| RecordError::Unreadable { key: key(), fault: e.to_string() })?;
+        if !nodes.contains(&holder.node.as_str()) {
+            return Err(RecordError::UnknownHolder { key: key(), node: holder.node });
+        }
+        let epoch = Epoch::from_revision(pair.mark)
+            .map_err(|error| RecordError::Epoch { key: key(), error })?;
+        Ok(Holding { duty, epoch, holder })
+    }
+
+    /// The condition under which this holding is still in force.
+    pub fn guard(&self) -> Guard {
+        Guard { key: self.duty.key(), mark: self.epoch.revision() }
+    }
+}
--- /dev/null
+++ b/crates/duties/src/fence.rs
@@ -0,0 +1,77 @@
+//! Writes that take effect only while the writer still holds its duty.
+
+use walnutlug_core::wire::{Change, Guard, Txn};
+
+use crate::duty::{Duty, Epoch};
+
+/// What every write of a duty's holder is conditional on. There is none without an epoch.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Fence {
+    duty: Duty,
+    epoch: Epoch,
+}
+
+impl Fence {
+    /// The fence of the duty, held under that epoch.
+    pub fn new(duty: Duty, epoch: Epoch) -> Fence {
+        Fence { duty, epoch }
+    }
+
+    /// The epoch that the writes are fenced by.
+    pub fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// The duty whose writes these are.
+    pub fn duty(&self) -> Duty {
+        self.duty
+    }
+
+    fn guard(&self) -> Guard {
+        Guard { key: self.duty.key(), mark: self.epoch.revision() }
+    }
+
+    /// Whether one of these failed conditions means that the duty is another's now.
+    pub fn is_broken_by(&self, failed: &[String]) -> bool {
+        failed.contains(&self.duty.key())
+    }
+}
+
+/// A transaction in the making, under a fence. Nothing else makes a duty's writes, so none goes round it.
+#[derive(Debug)]
+pub struct FencedWrite {
+    txn: Txn,
+}
+
+impl FencedWrite {
+    /// An empty write under the fence.
+    pub fn new(fence: &Fence) -> FencedWrite {
+        FencedWrite { txn: Txn { guards: vec![fence.guard()], apply: Vec::new() } }
+    }
+
+    /// Adds a key that must not exist yet.
+    pub fn create(&mut self, key: &str, change: Change) {
+        self.txn.guards.push(Guard { key: key.to_owned(), mark: 0 });
+        self.txn.apply.push(change);
+    }
+
+    /// Adds a change to a key that nobody but the duty's holder writes.
+    pub fn change(&mut self, change: Change) {
+        self.txn.apply.push(change);
+    }
+
+    /// How many changes it makes.
+    pub fn len(&self) -> usize {
+        self.txn.apply.len()
+    }
+
+    /// Whether it changes nothing.
+    pub fn is_empty(&self) -> bool {
+        self.txn.apply.is_empty()
+    }
+
+    /// The transaction to send.
+    pub fn into_txn(self) -> Txn {
+        self.txn
+    }
+}
--- /dev/null
+++ b/crates/duties/src/ledger.rs
@@ -0,0 +1,626 @@
+//! The holder's list of outside actions: what it wants done, what is recorded, what was sent, what is settled.
+//!
+//! An action passes through named states, and [`ActionState::next`] is the one place that says which may
+//! follow which. Nothing is sent before its record is stored. A record goes when all of its actions are
+//! settled; what a former holder left is taken over as it was recorded and settled like the holder's own.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use walnutlug_core::document::Document;
+use walnutlug_core::registry::Outcome;
+use walnutlug_core::time::{Span, Time};
+use walnutlug_core::wire::{Change, Pair, Txn};
+
+use crate::duty::{EpochError, RecordError};
+use crate::fence::{Fence, FencedWrite};
+use crate::intent::{intent_key, Action, IntentRecord, Rental, ReturnedMachine, StoredIntent};
+
+/// How long settled records wait for a write to go along with.
+const DROP_DELAY: Span = Span::secs(2);
+/// Pause before a write that was refused or whose answer was lost is sent again.
+const WRITE_RETRY: Span = Span::millis(300);
+/// Pause before an action whose outcome isn't known is sent again; it doubles up to four times.
+const ACTION_RETRY: Span = Span::secs(2);
+/// Doublings of [`ACTION_RETRY`].
+const MOST_DOUBLINGS: u32 = 3;
+/// Bytes of a stored record beside its actions.
+const RECORD_OVERHEAD: usize = 64;
+/// Actions that may wait or be open at once; beyond this many nothing more is taken on. A fleet of some
+/// thousands has a few dozen.
+const MOST_OPEN: usize = 4_096;
+
+/// Names an action for as long as the ledger lives.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ActionId {
+    record: u64,
+    index: usize,
+}
+
+/// What the ledger wants done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum LedgerCommand {
+    /// Send the transaction and answer with [`Ledger::written`].
+    Write {
+        /// Names the write.
+        id: u64,
+        /// What to send.
+        txn: Txn,
+    },
+    /// Check the lease, send the action, and answer with [`Ledger::answered`].
+    Send {
+        /// Names the action.
+        id: ActionId,
+        /// What to send.
+        action: Action,
+    },
+}
+
+/// What became of an action that was given out to be sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ActionAnswer {
+    /// Carried out.
+    Done,
+    /// Refused, so this copy of it is not carried out, now or later.
+    Refused,
+    /// It never left.
+    NotSent,
+    /// No usable answer: it may be carried out at any time.
+    Unknown,
+}
+
+/// Why the ledger does nothing any more.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Stopped {
+    /// A write found that the duty is another's.
+    #[error("the duty is held under another epoch now")]
+    Fenced,
+    /// A stored intent is of this epoch or a later one, though this one is the newest.
+    #[error(transparent)]
+    Epoch(#[from] EpochError),
+}
+
+/// How an action stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ActionState {
+    /// Its record isn't stored yet.
+    Unrecorded,
+    /// Recorded, and to be sent from then on.
+    Due {
+        /// When it may be sent.
+        at: Time,
+        /// Sends whose outcome isn't known.
+        unknown: u32,
+    },
+    /// Given out to be sent.
+    Sent {
+        /// Earlier sends whose outcome isn't known.
+        unknown: u32,
+    },
+    /// A rental that was carried out. Its record stays until the machines are on the cloud's list for certain:
+    /// until then the request's name is how a successor learns of them.
+    Unlisted {
+        /// When they are listed.
+        until: Time,
+    },
+    /// Nothing is left to do.
+    Settled,
+}
+
+/// What happens to an action.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ActionInput {
+    Recorded { now: Time },
+    GivenOut,
+    Carried { keep_until: Option<Time> },
+    Refused { retry_at: Option<Time> },
+    NotSent { now: Time },
+    Unknown { now: Time },
+    AskedAgain { now: Time },
+    Listed,
+}
+
+impl ActionState {
+    /// The state that follows, or `None` where the input means nothing.
+    fn next(self, input: ActionInput) -> Option<ActionState> {
+        match (self, input) {
+            (ActionState::Unrecorded, ActionInput::Recorded { now }) => {
+                Some(ActionState::Due { at: now, unknown: 0 })
+            }
+            (ActionState::Due { unknown, .. }, ActionInput::GivenOut) => {
+                Some(ActionState::Sent { unknown })
+            }
+            (ActionState::Due { unknown, .. }, ActionInput::AskedAgain { now }) => {
+                Some(ActionState::Due { at: now, unknown })
+            }
+            (ActionState::Sent { .. }, ActionInput::Carried { keep_until }) => Some(
+                keep_until.map_or(ActionState::Settled, |until| ActionState::Unlisted { until }),
+            ),
+            (ActionState::Sent { unknown }, ActionInput::Refused { retry_at }) => {
+                Some(retry_at.map_or(ActionState::Settled, |at| ActionState::Due { at, unknown }))
+            }
+            (ActionState::Sent { unknown }, ActionInput::NotSent { now }) => {
+                Some(ActionState::Due { at: now + WRITE_RETRY, unknown })
+            }
+            (ActionState::Sent { unknown }, ActionInput::Unknown { now }) => {
+                let pause = Span(ACTION_RETRY.0 << unknown.min(MOST_DOUBLINGS));
+                Some(ActionState::Due { at: now + pause, unknown: unknown + 1 })
+            }
+            (ActionState::Unlisted { .. }, ActionInput::Listed) => Some(ActionState::Settled),
+            _ => None,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Tracked {
+    action: Action,
+    state: ActionState,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RecordState {
+    /// Its write is under way, or has to be sent again.
+    Writing,
+    Stored,
+    /// All of its actions are settled; since then it waits to be dropped.
+    Settled {
+        since: Time,
+    },
+    Dropping,
+}
+
+#[derive(Debug)]
+struct Record {
+    key: String,
+    state: RecordState,
+    actions: Vec<Tracked>,
+}
+
+#[derive(Debug)]
+struct PendingWrite {
+    id: u64,
+    txn: Txn,
+    created: Vec<u64>,
+    dropped: Vec<u64>,
+    retry_at: Option<Time>,
+}
+
+/// What the state service takes at once.
+#[derive(Debug, Clone, Copy)]
+pub struct WriteLimits {
+    /// The largest value.
+    pub value_bytes: usize,
+    /// The most changes of a transaction.
+    pub txn_ops: usize,
+}
+
+/// What a new holder takes over.
+#[derive(Debug, Default)]
+pub struct Adopted {
+    /// Rentals that will be asked for again under their names.
+    pub rentals: Vec<Rental>,
+    /// Machines whose recorded return is carried out.
+    pub returns: Vec<ReturnedMachine>,
+    /// Machines whose recorded return is not carried out, since work was recorded on them after it, which
+    /// only a version without fences does.
+    pub overruled: Vec<String>,
+    /// Records that were left as they are.
+    pub faults: Vec<RecordError>,
+}
+
+/// The outside actions of one holding of a duty.
+#[derive(Debug)]
+pub struct Ledger {
+    fence: Fence,
+    limits: WriteLimits,
+    /// How long after a rental its machines are on the cloud's list for certain.
+    listed_within: Span,
+    wishes: Vec<Action>,
+    records: BTreeMap<u64, Record>,
+    /// Machines named by a return that is not settled, with the action.
+    returning: BTreeMap<String, ActionId>,
+    /// Machines of rentals whose records stay until they are listed.
+    unlisted: BTreeMap<String, ActionId>,
+    write: Option<PendingWrite>,
+    next_record: u64,
+    next_write: u64,
+    stopped: Option<Stopped>,
+    commands: Vec<LedgerCommand>,
+}
+
+impl Ledger {
+    /// With nothing to do. What former holders left has to be adopted before anything else.
+    pub fn new(fence: Fence, limits: WriteLimits, listed_within: Span) -> Ledger {
+        Ledger {
+            fence,
+            limits,
+            listed_within,
+            wishes: Vec::new(),
+            records: BTreeMap::new(),
+            returning: BTreeMap::new(),
+            unlisted: BTreeMap::new(),
+            write: None,
+            next_record: 1,
+            next_write: 1,
+            stopped: None,
+            commands: Vec::new(),
+        }
+    }
+
+    /// The fence of its writes.
+    pub fn fence(&self) -> &Fence {
+        &self.fence
+    }
+
+    /// Why it does nothing any more, if so.
+    pub fn stopped(&self) -> Option<&Stopped> {
+        self.stopped.as_ref()
+    }
+
+    /// The state service takes that much at once from now on.
+    pub fn set_limits(&mut self, limits: WriteLimits) {
+        self.limits = limits;
+    }
+
+    /// What is to be done now.
+    pub fn take_commands(&mut self) -> Vec<LedgerCommand> {
+        std::mem::take(&mut self.commands)
+    }
+
+    /// How many actions wait or are not settled.
+    pub fn open_actions(&self) -> usize {
+        let open = |t: &&Tracked| t.state != ActionState::Settled;
+        let recorded: usize =
+            self.records.values().map(|record| record.actions.iter().filter(open).count()).sum();
+        recorded + self.wishes.len()
+    }
+
+    /// Takes over what earlier epochs left. `has_tasks` tells on which machines work is recorded.
+    pub fn adopt(
+        &mut self,
+        now: Time,
+        stored: &[Pair],
+        has_tasks: impl Fn(&str) -> bool,
+    ) -> Adopted {
+        let mut adopted = Adopted::default();
+        for pair in stored {
+            let intent = match StoredIntent::read(pair) {
+                Ok(intent) if intent.duty == self.fence.duty() => intent,
+                Ok(_) => continue,
+                Err(fault) => {
+                    adopted.faults.push(fault);
+                    continue;
+                }
+            };
+            if let Err(error) = self.fence.epoch().must_follow(Some(intent.epoch)) {
+                self.stopped = Some(Stopped::Epoch(error));
+                return Adopted { faults: adopted.faults, ..Adopted::default() };
+            }
+            let mut actions = Vec::new();
+            for action in intent.record.actions {
+                actions.extend(adopted.take_over(action, &has_tasks));
+            }
+            self.add_record(now, pair.key.clone(), actions, RecordState::Stored);
+        }
+        adopted
+    }
+
+    fn add_record(&mut self, now: Time, key: String, actions: Vec<Action>, state: RecordState) {
+        let number = self.next_record;
+        self.next_record += 1;
+        for (index, action) in actions.iter().enumerate() {
+            if let Action::Return(machines) = action {
+                let id = ActionId { record: number, index };
+                self.returning.extend(machines.iter().map(|m| (m.machine.clone(), id)));
+            }
+        }
+        let first = match state {
+            RecordState::Writing => ActionState::Unrecorded,
+            _ => ActionState::Due { at: now, unknown: 0 },
+        };
+        let actions = actions.into_iter().map(|action| Tracked { action, state: first }).collect();
+        self.records.insert(number, Record { key, state, actions });
+        self.settle_record(now, number);
+    }
+
+    /// Wants machines rented. Whether it will see to it.
+    pub fn rent(&mut self, rental: Rental) -> bool {
+        let taken = self.stopped.is_none() && self.open_actions() < MOST_OPEN;
+        if taken {
+            self.wishes.push(Action::Rent(rental));
+        }
+        taken
+    }
+
+    /// Wants machines returned. What is recorded already is sent again, if its outcome isn't known. How
+    /// many requests come of it.
+    pub fn give_back(&mut self, now: Time, machines: Vec<ReturnedMachine>) -> usize {
+        if self.stopped.is_some() || self.open_actions() >= MOST_OPEN {
+            return 0;
+        }
+        let mut again = BTreeSet::new();
+        let mut new = Vec::new();
+        for machine in machines {
+            match self.returning.get(&machine.machine) {
+                Some(&id) => {
+                    again.insert(id);
+                }
+                None if self.wishes_return(&machine.machine) => {}
+                None => new.push(machine),
+            }
+        }
+        let resent = again.into_iter().filter(|&id| {
+            self.step(id, ActionInput::AskedAgain { now }) // Not while it is under way.
+        });
+        let resent = resent.count();
+        let more = usize::from(!new.is_empty());
+        if !new.is_empty() {
+            self.wishes.push(Action::Return(new));
+        }
+        resent + more
+    }
+
+    fn wishes_return(&self, machine: &str) -> bool {
+        self.wishes.iter().any(|wish| match wish {
+            Action::Return(machines) => machines.iter().any(|m| m.machine == machine),
+            Action::Rent(_) => false,
+        })
+    }
+
+    /// Whether a return of the machine is wanted or recorded and not settled.
+    pub fn is_returning(&self, machine: &str) -> bool {
+        self.returning.contains_key(machine) || self.wishes_return(machine)
+    }
+
+    /// Writes what is to be recorded or dropped, and, while the lease is certainly held, gives out what may
+    /// be sent. (It is looked at again directly before sending.)
+    pub fn tick(&mut self, now: Time, holds_lease: bool) {
+        if self.stopped.is_some() {
+            return;
+        }
+        self.expire_unlisted(now);
+        match &mut self.write {
+            Some(write) if write.retry_at.is_some_and(|at| now >= at) => {
+                write.retry_at = None;
+                let (id, txn) = (write.id, write.txn.clone());
+                self.commands.push(LedgerCommand::Write { id, txn });
+            }
+            Some(_) => {}
+            None => self.start_write(now),
+        }
+        if holds_lease {
+            self.give_out(now);
+        }
+    }
+
+    fn give_out(&mut self, now: Time) {
+        let mut due = Vec::new();
+        for (&record, kept) in &self.records {
+            for (index, tracked) in kept.actions.iter().enumerate() {
+                if matches!(tracked.state, ActionState::Due { at, .. } if now >= at) {
+                    due.push((ActionId { record, index }, tracked.action.clone()));
+                }
+            }
+        }
+        for (id, action) in due {
+            if self.step(id, ActionInput::GivenOut) {
+                self.commands.push(LedgerCommand::Send { id, action });
+            }
+        }
+    }
+
+    /// One transaction with all that waits, as far as the limits allow.
+    fn start_write(&mut self, now: Time) {
+        let mut write = FencedWrite::new(&self.fence);
+        let created = self.create_records(now, &mut write);
+        let overdue = |record: &Record| matches!(record.state, RecordState::Settled { since } if now.since(since) >= DROP_DELAY);
+        // Drops go along with what has to be written anyway, or wait for each other.
+        let mut dropped = Vec::new();
+        if !created.is_empty() || self.records.values().any(overdue) {
+            for (&number, record) in &mut self.records {
+                if write.len() >= self.limits.txn_ops {
+                    break;
+                }
+                if matches!(record.state, RecordState::Settled { .. }) {
+                    record.state = RecordState::Dropping;
+                    write.change(Change::drop(&record.key));
+                    dropped.push(number);
+                }
+            }
+        }
+        if write.is_empty() {
+            return;
+        }
+        let (id, txn) = (self.next_write, write.into_txn());
+        self.next_write += 1;
+        self.commands.push(LedgerCommand::Write { id, txn: txn.clone() });
+        self.write = Some(PendingWrite { id, txn, created, dropped, retry_at: None });
+    }
+
+    fn create_records(&mut self, now: Time, write: &mut FencedWrite) -> Vec<u64> {
+        let mut created = Vec::new();
+        while write.len() < self.limits.txn_ops {
+            let actions = self.take_wishes();
+            if actions.is_empty() {
+                break;
+            }
+            let number = self.next_record;
+            let key = intent_key(self.fence.duty(), self.fence.epoch(), number);
+            let record = IntentRecord::new(actions.clone());
+            write.create(&key, Change::put_document(&key, Document::new(&record)));
+            self.add_record(now, key, actions, RecordState::Writing);
+            created.push(number);
+        }
+        created
+    }
+
+    /// As many wishes of one kind as fit into a record.
+    fn take_wishes(&mut self) -> Vec<Action> {
+        let room = self.limits.value_bytes.saturating_sub(RECORD_OVERHEAD);
+        self.split_first_wish(room);
+        let Some(first) = self.wishes.first() else { return Vec::new() };
+        let kind = std::mem::discriminant(first);
+        let mut bytes = 0;
+        let fits = |wish: &&Action| {
+            bytes += Document::new(wish).size() + 1;
+            std::mem::discriminant(*wish) == kind && bytes <= room
+        };
+        let count = self.wishes.iter().take_while(fits).count().max(1);
+        self.wishes.drain(..count).collect()
+    }
+
+    /// A return of more machines than a record has room for is made two.
+    fn split_first_wish(&mut self, room: usize) {
+        while let Some(Action::Return(machines)) = self.wishes.first_mut() {
+            if machines.len() < 2 || Document::new(machines).size() + RECORD_OVERHEAD <= room {
+                return;
+            }
+            let rest = machines.split_off(machines.len() / 2);
+            self.wishes.insert(1, Action::Return(rest));
+        }
+    }
+
+    /// The answer to [`LedgerCommand::Write`].
+    pub fn written(&mut self, now: Time, id: u64, outcome: &Outcome) {
+        let Some(mut write) = self.write.take_if(|write| write.id == id) else { return };
+        match outcome {
+            Outcome::Committed { .. } => self.stored(now, &write),
+            Outcome::Conflict { failed } if self.fence.is_broken_by(failed) => {
+                self.stopped = Some(Stopped::Fenced);
+            }
+            // Nobody else makes keys of this epoch: an earlier copy was carried out, all of it.
+            Outcome::Conflict { .. } => self.stored(now, &write),
+            Outcome::Refused | Outcome::Lost => {
+                write.retry_at = Some(now + WRITE_RETRY);
+                self.write = Some(write);
+            }
+            Outcome::TooLarge => self.plan_anew(now, &write),
+        }
+    }
+
+    fn stored(&mut self, now: Time, write: &PendingWrite) {
+        for number in &write.dropped {
+            self.records.remove(number);
+        }
+        for &number in &write.created {
+            let Some(record) = self.records.get_mut(&number) else { continue };
+            record.state = RecordState::Stored;
+            for index in 0..record.actions.len() {
+                self.step(ActionId { record: number, index }, ActionInput::Recorded { now });
+            }
+        }
+    }
+
+    /// The transaction is over the limits and certainly not carried out: its actions are wishes again.
+    fn plan_anew(&mut self, now: Time, write: &PendingWrite) {
+        for number in &write.created {
+            let Some(record) = self.records.remove(number) else { continue };
+            self.returning.retain(|_, id| id.record != *number);
+            self.wishes.extend(record.actions.into_iter().map(|tracked| tracked.action));
+        }
+        for number in &write.dropped {
+            if let Some(record) = self.records.get_mut(number) {
+                record.state = RecordState::Settled { since: now };
+            }
+        }
+    }
+
+    /// The answer to [`LedgerCommand::Send`]; of a rental, with the machines that were rented.
+    pub fn answered(&mut self, now: Time, id: ActionId, answer: ActionAnswer, rented: &[String]) {
+        let Some(action) = self.action(id).map(|tracked| &tracked.action) else { return };
+        let rents = matches!(action, Action::Rent(_));
+        let input = match answer {
+            ActionAnswer::Done if rents && !rented.is_empty() => {
+                ActionInput::Carried { keep_until: Some(now + self.listed_within) }
+            }
+            ActionAnswer::Done => ActionInput::Carried { keep_until: None },
+            // A machine has to go all the same; what can't be rented now is asked for anew, if it is
+            // still wanted then.
+            ActionAnswer::Refused if rents => ActionInput::Refused { retry_at: None },
+            ActionAnswer::Refused => ActionInput::Refused { retry_at: Some(now + ACTION_RETRY) },
+            ActionAnswer::NotSent => ActionInput::NotSent { now },
+            ActionAnswer::Unknown => ActionInput::Unknown { now },
+        };
+        if !self.step(id, input) {
+            return;
+        }
+        if matches!(input, ActionInput::Carried { .. }) {
+            self.unlisted.extend(rented.iter().map(|machine| (machine.clone(), id)));
+            self.forget_returned(now, id);
+        }
+        self.settle_record(now, id.record);
+    }
+
+    /// Machines that are gone: a successor that asked for their rental again would count on them.
+    fn forget_returned(&mut self, now: Time, id: ActionId) {
+        let Some(Action::Return(machines)) = self.action(id).map(|t| t.action.clone()) else {
+            return;
+        };
+        for ReturnedMachine { machine, .. } in machines {
+            self.returning.remove(&machine);
+            if let Some(rental) = self.unlisted.remove(&machine) {
+                self.listed(now, rental);
+            }
+        }
+    }
+
+    fn listed(&mut self, now: Time, rental: ActionId) {
+        if self.step(rental, ActionInput::Listed) {
+            self.unlisted.retain(|_, id| *id != rental);
+            self.settle_record(now, rental.record);
+        }
+    }
+
+    fn expire_unlisted(&mut self, now: Time) {
+        let rentals: BTreeSet<ActionId> = self.unlisted.values().copied().collect();
+        for id in rentals {
+            let state = self.action(id).map(|tracked| tracked.state);
+            if matches!(state, Some(ActionState::Unlisted { until }) if now >= until) {
+                self.listed(now, id);
+            }
+        }
+    }
+
+    fn action(&self, id: ActionId) -> Option<&Tracked> {
+        self.records.get(&id.record)?.actions.get(id.index)
+    }
+
+    fn step(&mut self, id: ActionId, input: ActionInput) -> bool {
+        let record = self.records.get_mut(&id.record);
+        let Some(tracked) = record.and_then(|record| record.actions.get_mut(id.index)) else {
+            return false;
+        };
+        let next = tracked.state.next(input);
+        tracked.state = next.unwrap_or(tracked.state);
+        next.is_some()
+    }
+
+    fn settle_record(&mut self, now: Time, number: u64) {
+        let Some(record) = self.records.get_mut(&number) else { return };
+        let settled = record.actions.iter().all(|tracked| tracked.state == ActionState::Settled);
+        if settled && record.state == RecordState::Stored {
+            record.state = RecordState::Settled { since: now };
+        }
+    }
+}
+
+impl Adopted {
+    /// What is left to do of an action that another epoch recorded.
+    fn take_over(&mut self, action: Action, has_tasks: &impl Fn(&str) -> bool) -> Option<Action> {
+        match action {
+            Action::Rent(rental) => {
+                self.rentals.push(rental.clone());
+                Some(Action::Rent(rental))
+            }
+            Action::Return(machines) => {
+                // No holder puts work on a machine whose return is recorded. Work that is there now and
+                // was not when the return was recorded was put there by a version that reads no intents.
+                let in_use = |m: &ReturnedMachine| !m.holds_tasks && has_tasks(&m.machine);
+                let (used, gone): (Vec<_>, Vec<_>) = machines.into_iter().partition(in_use);
+                self.overruled.extend(used.into_iter().map(|m| m.machine));
+                self.returns.extend(gone.iter().cloned());
+                (!gone.is_empty()).then_some(Action::Return(gone))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/duties/src/lib.rs
@@ -0,0 +1,14 @@
+//! Duties that one node at a time may carry out, each under a lease and an epoch, and the fence around what
+//! their holder does outside.
+//!
+//! Like the core, this crate has no clock and no input or output: times, answers and stored records come in,
+//! transactions and requests go out. `docs/fencing.md` gives the argument.
+
+#![warn(missing_docs)]
+
+pub mod balance;
+pub mod duty;
+pub mod fence;
+pub mod intent;
+pub mod lease;
+pub mod ledger;
--- a/crates/walnutlug/src/cloud.rs
+++ b/crates/walnutlug/src/cloud.rs
@@ -10,14 +10,26 @@
     ListedMachine, MachineList, MachineNames, MachineType, MachineTypes, RentRequest,
 };
 
-use crate::http::client::{Client, Response};
+use crate::http::client::{Client, Failure, Response};
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CloudError {
     /// No machine of this kind to be had.
     NoCapacity,
-    /// No usable answer; the request may have been carried out.
-    Trouble,
+    /// Refused for another reason; certainly not carried out.
+    Refused,
+    /// Nothing was sent: there was no connection, or it was not to be sent any more.
+    NotSent,
+    /// No usable answer; the request may have been carried out, or may be later.
+    Unknown,
+}
+
+/// Whether a request may still be sent, asked directly before it is.
+pub type MaySend<'a> = &'a dyn Fn() -> bool;
+
+/// For requests that change nothing.
+fn always() -> bool {
+    true
 }
 
 /// Machines in a list, many times those of any fleet.
@@ -35,7 +47,13 @@
         Cloud { client, addr, rps, next: RefCell::new(Instant::now()) }
     }
 
-    async fn ask(&self, method: &str, path: &str, body: &[u8]) -> Result<Response, CloudError> {
+    async fn ask(
+        &self,
+        method: &str,
+        path: &str,
+        body: &[u8],
+        may_send: MaySend<'_>,
+    ) -> Result<Response, CloudError> {
         for _ in 0..4 {
             let at = {
                 let mut next = self.next.borrow_mut();
@@ -48,51 +66,76 @@
             };
             tokio::time::sleep_until(at).await;
             let within = Duration::from_secs(5);
-            match self.client.request(self.addr, method, path, body, within).await {
+            match self.client.request_if(self.addr, method, path, body, within, may_send).await {
                 Ok(r) if r.status == 429 => {
                     sleep(Duration::from_millis(rand::random_range(300..900))).await;
                 }
                 Ok(r) => return Ok(r),
-                Err(_) => return Err(CloudError::Trouble),
+                Err(Failure::NotSent) => return Err(CloudError::NotSent),
+                Err(Failure::Lost) => return Err(CloudError::Unknown),
             }
         }
-        Err(CloudError::Trouble)
+        Err(CloudError::Refused)
     }
 
     pub async fn types(&self) -> Result<Vec<MachineType>, CloudError> {
-        let r = self.ask("GET", "/machine_types", b"").await?;
+        let r = self.ask("GET", "/machine_types", b"", &always).await?;
         if r.status != 200 {
-            return Err(CloudError::Trouble);
+            return Err(CloudError::Unknown);
         }
         let types: MachineTypes =
-            serde_json::from_slice(&r.body).map_err(|_| CloudError::Trouble)?;
+            serde_json::from_slice(&r.body).map_err(|_| CloudError::Unknown)?;
         Ok(usable_types(types.types))
     }
 
-    pub async fn rent(&self, request: &RentRequest) -> Result<Vec<String>, CloudError> {
-        let body = serde_json::to_vec(request).map_err(|_| CloudError::Trouble)?;
-        let mut r = self.ask("POST", "/machines", &body).await;
-        if r.is_err() {
-            // The same name again gives the same answer and rents nothing twice.
-            r = self.ask("POST", "/machines", &body).await;
+    /// Rents machines. If no answer comes the request is sent once more: under the same name it gets the
+    /// same answer and rents nothing twice.
+    pub async fn rent(
+        &self,
+        request: &RentRequest,
+        may_send: MaySend<'_>,
+    ) -> Result<Vec<String>, CloudError> {
+        match self.rent_once(request, may_send).await {
+            Err(CloudError::Unknown) => match self.rent_once(request, may_send).await {
+                Err(CloudError::Refused | CloudError::NotSent) => Err(CloudError::Unknown),
+                second => second,
+            },
+            first => first,
         }
-        let r = r?;
+    }
+
+    async fn rent_once(
+        &self,
+        request: &RentRequest,
+        may_send: MaySend<'_>,
+    ) -> Result<Vec<String>, CloudError> {
+        let body = serde_json::to_vec(request).map_err(|_| CloudError::NotSent)?;
+        let r = self.ask("POST", "/machines", &body, may_send).await?;
         match r.status {
             200 => serde_json::from_slice::<MachineNames>(&r.body)
                 .map(|n| n.machines)
-                .map_err(|_| CloudError::Trouble),
+                .map_err(|_| CloudError::Unknown),
             503 if String::from_utf8_lossy(&r.body).contains("no capacity") => {
                 Err(CloudError::NoCapacity)
             }
-            _ => Err(CloudError::Trouble),
+            _ => Err(CloudError::Refused),
         }
     }
 
-    /// True only on 200: then the machines are gone.
-    pub async fn give_back(&self, machines: &[String]) -> bool {
+    /// Returns machines. Once this is `Ok` they are gone.
+    pub async fn give_back(
+        &self,
+        machines: &[String],
+        may_send: MaySend<'_>,
+    ) -> Result<(), CloudError> {
         let names = MachineNames { machines: machines.to_vec() };
-        let Ok(body) = serde_json::to_vec(&names) else { return false };
-        matches!(self.ask("POST", "/machines/return", &body).await, Ok(r) if r.status == 200)
+        let body = serde_json::to_vec(&names).map_err(|_| CloudError::NotSent)?;
+        let r = self.ask("POST", "/machines/return", &body, may_send).await?;
+        if r.status == 200 {
+            Ok(())
+        } else {
+            Err(CloudError::Refused)
+        }
     }
 
     pub async fn list(&self) -> Result<Vec<ListedMachine>, CloudError> {
@@ -102,12 +145,12 @@
                 Some(m) => format!("from={}&", m.name),
                 None => String::new(),
             };
-            let r = self.ask("GET", &format!("/machines?{from}most=500"), b"").await?;
+            let r = self.ask("GET", &format!("/machines?{from}most=500"), b"", &always).await?;
             if r.status != 200 {
-                return Err(CloudError::Trouble);
+                return Err(CloudError::Unknown);
             }
             let page: MachineList =
-                serde_json::from_slice(&r.body).map_err(|_| CloudError::Trouble)?;
+                serde_json::from_slice(&r.body).map_err(|_| CloudError::Unknown)?;
             // Ordered by name, each page beginning after the last: a page that doesn't go on from
             // there would be asked for for ever.
             let last = all.last().map(|m: &ListedMachine| m.name.clone()).unwrap_or_default();
--- a/crates/walnutlug/src/http/client.rs
+++ b/crates/walnutlug/src/http/client.rs
@@ -142,6 +142,7 @@
         Client { script: Some(script), ..Client::default() }
     }
 
+    /// Sends the request, whatever else has happened meanwhile.
     pub async fn request(
         &self,
         addr: SocketAddrV4,
@@ -149,9 +150,26 @@
         path: &str,
         body: &[u8],
         within: Duration,
+    ) -> Result<Response, Failure> {
+        self.request_if(addr, method, path, body, within, &|| true).await
+    }
+
+    /// Sends the request if it still may be sent once there is a connection: asked directly before the
+    /// bytes are handed to the socket. Otherwise nothing leaves.
+    pub async fn request_if(
+        &self,
+        addr: SocketAddrV4,
+        method: &str,
+        path: &str,
+        body: &[u8],
+        within: Duration,
+        may_send: &dyn Fn() -> bool,
     ) -> Result<Response, Failure> {
         #[cfg(test)]
         if let Some(script) = &self.script {
+            if !may_send() {
+                return Err(Failure::NotSent);
+            }
             let answer = script(method, path, body);
             return timeout(within, answer).await.unwrap_or(Err(Failure::Lost));
         }
@@ -179,6 +197,10 @@
         )
         .into_bytes();
         message.extend_from_slice(body);
+        if !may_send() {
+            self.idle.borrow_mut().keep(addr, stream);
+            return Err(Failure::NotSent);
+        }
         let exchange = async {
             stream.write_all(&message).await.map_err(|_| Failure::Lost)?;
             read_response(&mut stream).await
--- a/crates/walnutlug/src/node.rs
+++ b/crates/walnutlug/src/node.rs
@@ -1,5 +1,6 @@
 //! One controller node: what it knows, whom it answers and what it tells the others.
 
+mod fleet_duty;
 mod lead;
 
 use std::cell::{Cell, RefCell};
@@ -20,6 +21,8 @@
 use walnutlug_core::tunables::Tunables;
 use walnutlug_core::watermark::{ask_every, CancelLog, Watermark};
 use walnutlug_core::wire::{is_job_ref, MachineType};
+use walnutlug_duties::duty::Epoch;
+use walnutlug_duties::ledger::Ledger;
 
 use crate::cloud::{usable_types, Cloud};
 use crate::http::client::Client;
@@ -103,6 +106,10 @@
     stale_told: Cell<bool>,
     /// Until when the leader's lease is certainly held.
     lease_until: Cell<Instant>,
+    /// The outside actions of this node's time as the leader, if duties are fenced.
+    fleet: RefCell<Option<Ledger>>,
+    /// The highest term of which this node knows.
+    highest_term: Cell<Option<Epoch>>,
     /// Connections from users and workers.
     open: Rc<Cell<u32>>,
     /// Workers whose connection was closed to leave room for users, since it was told last.
@@ -171,6 +178,8 @@
             checking_lead: Cell::new(false),
             stale_told: Cell::new(false),
             lease_until: Cell::new(Instant::now()),
+            fleet: RefCell::default(),
+            highest_term: Cell::new(None),
             open: Rc::default(),
             let_go: Cell::new(0),
             life: SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64),
@@ -205,6 +214,10 @@
     }
 
     fn learn_leader(&self, name: &str, term: u64) {
+        if name != self.settings.node_name {
+            let epoch = Epoch::from_revision(term).ok();
+            self.highest_term.set(self.highest_term.get().max(epoch));
+        }
         let mut leader = self.known_leader.borrow_mut();
         if leader.as_ref().is_none_or(|known| known.term < term) {
             *leader = Some(KnownLeader { name: name.to_owned(), term });
@@ -465,6 +478,7 @@
         if self.leadership.borrow_mut().step(now, Input::Lost) {
             info!("no longer leading: {why}");
             *self.scheduler.borrow_mut() = None;
+            *self.fleet.borrow_mut() = None;
             self.state.lead(false);
             self.step_down.notify_waiters();
         }
--- /dev/null
+++ b/crates/walnutlug/src/node/fleet_duty.rs
@@ -0,0 +1,231 @@
+//! The leader's duty over the fleet, fenced: rentals and returns are recorded before they are sent, the lease
+//! is looked at directly before each is, and what former leaders recorded is settled first.
+
+use std::rc::Rc;
+
+use tokio::time::Instant;
+use tracing::{debug, error, info, warn};
+use walnutlug_core::registry::Scheduler;
+use walnutlug_core::wire::RentRequest;
+use walnutlug_duties::duty::{Duty, Epoch, EpochError};
+use walnutlug_duties::fence::Fence;
+use walnutlug_duties::intent::{Action, Rental, ReturnedMachine, INTENT_PREFIX};
+use walnutlug_duties::ledger::{
+    ActionAnswer, ActionId, Adopted, Ledger, LedgerCommand, WriteLimits,
+};
+
+use super::lead::{retry, with_scheduler};
+use super::Node;
+use crate::cloud::CloudError;
+use crate::state::{Class, StateError};
+
+/// Lags of the cloud's list after which a machine is on it for certain; it may lag twice as long as told.
+const LISTED_AFTER_LAGS: f64 = 3.0;
+/// Faulty records that are named in the log at a take-over.
+const MOST_FAULTS_LOGGED: usize = 5;
+
+/// Takes the duty over with the lead: reads what former holders recorded and were not seen to settle.
+pub(super) async fn take_over(
+    node: &Rc<Node>,
+    term: u64,
+    scheduler: &mut Scheduler,
+) -> Result<(), StateError> {
+    if !node.tunables.fenced_duties {
+        return Ok(());
+    }
+    let epoch = match next_epoch(node, term) {
+        Ok(epoch) => epoch,
+        Err(fault) => {
+            error!(term, "the fleet duty stops at this node: {fault}");
+            *node.fleet.borrow_mut() = None;
+            return Ok(());
+        }
+    };
+    // The term guards every write, so no record of an earlier one can come after this.
+    let (stored, _) = retry(node, INTENT_PREFIX).await?;
+    let listed_within = node.site.list_lag.scale(LISTED_AFTER_LAGS);
+    let fence = Fence::new(Duty::Fleet, epoch);
+    let mut ledger = Ledger::new(fence, write_limits(node), listed_within);
+    let now = node.now();
+    let has_tasks = |name: &str| {
+        let machine = scheduler.by_name.get(name).map(|&ix| &scheduler.machines[ix as usize]);
+        machine.is_some_and(|machine| !machine.tasks.is_empty())
+    };
+    let adopted = ledger.adopt(now, &stored, has_tasks);
+    tell_adopted(term, &adopted);
+    for machine in &adopted.returns {
+        scheduler.adopt_return(now, &machine.machine);
+    }
+    for rental in &adopted.rentals {
+        scheduler.adopt_rental(&rental.kind, &rental.zone, rental.spot, rental.count);
+    }
+    *node.fleet.borrow_mut() = Some(ledger);
+    Ok(())
+}
+
+/// The term as an epoch, if it is above all that are known.
+fn next_epoch(node: &Node, term: u64) -> Result<Epoch, EpochError> {
+    let epoch = Epoch::from_revision(term)?.must_follow(node.highest_term.get())?;
+    node.highest_term.set(Some(epoch));
+    Ok(epoch)
+}
+
+fn write_limits(node: &Node) -> WriteLimits {
+    let limits = node.state.limits();
+    WriteLimits { value_bytes: limits.value_bytes, txn_ops: limits.txn_ops }
+}
+
+fn tell_adopted(term: u64, adopted: &Adopted) {
+    if !adopted.rentals.is_empty() || !adopted.returns.is_empty() {
+        let (rentals, returns) = (adopted.rentals.len(), adopted.returns.len());
+        info!(term, rentals, returns, "settling what former holders of the fleet duty recorded");
+    }
+    for machine in &adopted.overruled {
+        warn!(machine, "its recorded return is dropped: work was recorded there after it");
+    }
+    for fault in adopted.faults.iter().take(MOST_FAULTS_LOGGED) {
+        error!("left as it is: {fault}");
+    }
+    if let Some(more) = adopted.faults.len().checked_sub(MOST_FAULTS_LOGGED).filter(|n| *n > 0) {
+        error!("and {more} more records that this version can't act on");
+    }
+}
+
+/// Rents machines under the fence. False where duties aren't fenced.
+pub(super) fn rent(node: &Rc<Node>, request: &RentRequest) -> bool {
+    if !node.tunables.fenced_duties {
+        return false;
+    }
+    let rental = Rental {
+        request: request.request.clone(),
+        kind: request.kind.clone(),
+        zone: request.zone.clone(),
+        spot: request.spot,
+        count: request.count,
+    };
+    let taken = node.fleet.borrow_mut().as_mut().is_some_and(|ledger| ledger.rent(rental));
+    if !taken {
+        rental_failed(node, request);
+    }
+    true
+}
+
+fn rental_failed(node: &Node, request: &RentRequest) {
+    if let Some(s) = node.scheduler.borrow_mut().as_mut() {
+        s.rented(node.now(), &request.kind, &request.zone, request.spot, request.count, Err(()));
+    }
+}
+
+/// Returns machines under the fence. False where duties aren't fenced.
+pub(super) fn give_back(node: &Rc<Node>, machines: &[String]) -> bool {
+    if !node.tunables.fenced_duties {
+        return false;
+    }
+    let now = node.now();
+    let mut scheduler = node.scheduler.borrow_mut();
+    let Some(scheduler) = scheduler.as_mut() else { return true };
+    let with_tasks = |name: &String| {
+        let known = scheduler.by_name.get(name).map(|&ix| &scheduler.machines[ix as usize]);
+        let holds_tasks = known.is_some_and(|machine| !machine.tasks.is_empty());
+        ReturnedMachine { machine: name.clone(), holds_tasks }
+    };
+    let machines = machines.iter().map(with_tasks).collect();
+    let mut fleet = node.fleet.borrow_mut();
+    let requests = fleet.as_mut().map_or(0, |ledger| ledger.give_back(now, machines));
+    if requests == 0 {
+        // Nothing new comes of it, so no answer will either.
+        scheduler.returned(now, &[], false);
+    }
+    true
+}
+
+/// Carries on with what is to be recorded, sent and dropped.
+pub(super) fn advance(node: &Rc<Node>, term: u64) {
+    let commands = {
+        let mut fleet = node.fleet.borrow_mut();
+        let Some(ledger) = fleet.as_mut() else { return };
+        if ledger.fence().epoch().revision() != term {
+            return;
+        }
+        ledger.set_limits(write_limits(node));
+        ledger.tick(node.now(), holds(node, term));
+        ledger.take_commands()
+    };
+    for command in commands {
+        match command {
+            LedgerCommand::Write { id, txn } => {
+                let node = node.clone();
+                tokio::task::spawn_local(async move {
+                    let outcome = node.state.commit(Class::Dispatch, &txn).await;
+                    with_ledger(&node, term, |ledger| ledger.written(node.now(), id, &outcome));
+                });
+            }
+            LedgerCommand::Send { id, action: Action::Rent(rental) } => {
+                tokio::task::spawn_local(send_rental(node.clone(), term, id, rental));
+            }
+            LedgerCommand::Send { id, action: Action::Return(machines) } => {
+                tokio::task::spawn_local(send_return(node.clone(), term, id, machines));
+            }
+        }
+    }
+}
+
+/// Tells the ledger of that term what happened, and carries on.
+fn with_ledger(node: &Rc<Node>, term: u64, tell: impl FnOnce(&mut Ledger)) {
+    let stopped = {
+        let mut fleet = node.fleet.borrow_mut();
+        let ledger = fleet.as_mut().filter(|ledger| ledger.fence().epoch().revision() == term);
+        let Some(ledger) = ledger else { return };
+        tell(ledger);
+        ledger.stopped().map(ToString::to_string)
+    };
+    match stopped {
+        Some(why) => node.give_up_lead(&format!("the fleet duty is over: {why}")),
+        None => advance(node, term),
+    }
+}
+
+/// Whether this node still holds the duty under that epoch, for certain and right now.
+fn holds(node: &Node, term: u64) -> bool {
+    node.leadership.borrow().term() == Some(term) && Instant::now() < node.lease_until.get()
+}
+
+async fn send_rental(node: Rc<Node>, term: u64, id: ActionId, rental: Rental) {
+    let answer = node.cloud.rent(&rental.request(), &|| holds(&node, term)).await;
+    let outcome = match &answer {
+        Ok(_) => ActionAnswer::Done,
+        Err(CloudError::NoCapacity | CloudError::Refused) => ActionAnswer::Refused,
+        Err(CloudError::NotSent) => ActionAnswer::NotSent,
+        Err(CloudError::Unknown) => ActionAnswer::Unknown,
+    };
+    let rented = answer.as_deref().unwrap_or_default();
+    with_ledger(&node, term, |ledger| ledger.answered(node.now(), id, outcome, rented));
+    with_scheduler(&node, term, |s, now| {
+        let Rental { kind, zone, spot, count, .. } = &rental;
+        match answer {
+            Ok(names) => s.rented(now, kind, zone, *spot, *count, Ok(names)),
+            Err(CloudError::NoCapacity) => s.rented(now, kind, zone, *spot, *count, Ok(Vec::new())),
+            Err(CloudError::Refused) => s.rented(now, kind, zone, *spot, *count, Err(())),
+            // It is sent again, and the machines may come.
+            Err(CloudError::NotSent | CloudError::Unknown) => s.cloud_in_trouble(now),
+        }
+    });
+}
+
+async fn send_return(node: Rc<Node>, term: u64, id: ActionId, machines: Vec<ReturnedMachine>) {
+    let names: Vec<String> = machines.into_iter().map(|machine| machine.machine).collect();
+    let answer = node.cloud.give_back(&names, &|| holds(&node, term)).await;
+    let outcome = match answer {
+        Ok(()) => ActionAnswer::Done,
+        Err(CloudError::NoCapacity | CloudError::Refused) => ActionAnswer::Refused,
+        Err(CloudError::NotSent) => ActionAnswer::NotSent,
+        Err(CloudError::Unknown) => ActionAnswer::Unknown,
+    };
+    if outcome != ActionAnswer::Done {
+        debug!("machines not returned yet: {outcome:?}");
+    }
+    with_ledger(&node, term, |ledger| ledger.answered(node.now(), id, outcome, &[]));
+    with_scheduler(&node, term, |s, now| {
+        s.returned(now, &names, outcome == ActionAnswer::Done);
+    });
+}
--- a/crates/walnutlug/src/node/lead.rs
+++ b/crates/walnutlug/src/node/lead.rs
@@ -13,8 +13,9 @@
 use walnutlug_core::time::{Span, Time};
 use walnutlug_core::watermark;
 use walnutlug_core::wire::{Change, Guard, RentRequest, Txn, WatchEvent};
+use walnutlug_duties::lease;
 
-use super::{Node, ADDRESS_FRESH};
+use super::{fleet_duty, Node, ADDRESS_FRESH};
 use crate::cloud::CloudError;
 use crate::state::{leader_value, Class, State, StateError};
 use crate::{serving, workers};
@@ -84,13 +85,13 @@
     let lost = |input| {
         node.leadership.borrow_mut().step(node.now(), input);
     };
+    let asked = Instant::now();
     let Ok(lease) = node.state.lease(ttl).await else {
         lost(Input::Failed);
         sleep(Duration::from_millis(rand::random_range(50..200))).await;
         return;
     };
-    let touched = Instant::now();
-    node.lease_until.set(touched + ttl);
+    node.lease_until.set(asked + certain(ttl));
     let value = leader_value(&node.settings.node_name, &node.incarnation, lease);
     let txn = Txn {
         guards: vec![Guard { key: keys::LEADER.into(), mark: 0 }],
@@ -113,7 +114,7 @@
     info!(term, "elected");
     node.state.lead(true);
     node.learn_leader(&node.settings.node_name, term);
-    lead(node, term, lease, touched).await;
+    lead(node, term, lease, asked).await;
     let _ = timeout(Duration::from_millis(500), node.state.release(lease)).await;
 }
 
@@ -157,6 +158,11 @@
     }
 }
 
+/// For how long after it was asked for the lease is certainly held, whatever the clocks do.
+fn certain(ttl: Duration) -> Duration {
+    Duration::from_micros(lease::certain_for(Span(ttl.as_micros() as u64)).0)
+}
+
 async fn keep_lease(node: &Rc<Node>, lease: u64, mut touched: Instant) {
     let ttl = Duration::from_micros(node.tunables.leader_lease.0);
     loop {
@@ -165,7 +171,7 @@
         match node.state.touch(lease).await {
             Ok(()) => {
                 touched = sent;
-                node.lease_until.set(sent + ttl);
+                node.lease_until.set(sent + certain(ttl));
             }
             Err(StateError::Gone) => {
                 node.give_up_lead("the lease ran out");
@@ -222,6 +228,7 @@
             Err(_) => sleep(Duration::from_millis(200)).await,
         }
     }
+    fleet_duty::take_over(node, term, &mut s).await?;
     for (name, (address, heard)) in node.addresses.borrow().iter() {
         if heard.elapsed() < ADDRESS_FRESH {
             s.hint_address(now, name, &address.to_string());
@@ -362,7 +369,7 @@
     *node.scheduler.borrow_mut() = Some(s);
 }
 
-async fn retry(
+pub(super) async fn retry(
     node: &Rc<Node>,
     prefix: &str,
 ) -> Result<(Vec<walnutlug_core::wire::Pair>, u64), StateError> {
@@ -506,6 +513,7 @@
             for command in commands {
                 carry_out(node, term, command);
             }
+            fleet_duty::advance(node, term);
         }
         let pause = pause_after(began.elapsed(), node.settings.cpu_share);
         let least = pause.saturating_sub(last.elapsed());
@@ -517,7 +525,7 @@
     }
 }
 
-fn with_scheduler(node: &Rc<Node>, term: u64, f: impl FnOnce(&mut Scheduler, Time)) {
+pub(super) fn with_scheduler(node: &Rc<Node>, term: u64, f: impl FnOnce(&mut Scheduler, Time)) {
     let now = node.now();
     if let Some(s) = node.scheduler.borrow_mut().as_mut() {
         // Answers to a former term's requests mean nothing to this one's registry.
@@ -575,35 +583,39 @@
             });
         }
         Command::Rent { kind, zone, spot, count } => {
-            tokio::task::spawn_local(async move {
-                let n = node.requests.get() + 1;
-                node.requests.set(n);
-                // Term, incarnation and counter: a name that no other node or time ever uses.
-                let request = RentRequest {
-                    request: format!("{term}-{}-{n}", node.incarnation),
-                    kind: kind.clone(),
-                    zone: zone.clone(),
-                    spot,
-                    count,
-                };
-                let answer = match node.cloud.rent(&request).await {
-                    Ok(names) => Ok(names),
-                    Err(CloudError::NoCapacity) => Ok(Vec::new()),
-                    Err(CloudError::Trouble) => Err(()),
-                };
-                with_scheduler(&node, term, |s, now| {
-                    s.rented(now, &kind, &zone, spot, count, answer);
-                });
-            });
+            let n = node.requests.get() + 1;
+            node.requests.set(n);
+            // Term, incarnation and counter: a name that no other node or time ever uses.
+            let request = format!("{term}-{}-{n}", node.incarnation);
+            let rental = RentRequest { request, kind, zone, spot, count };
+            if !fleet_duty::rent(&node, &rental) {
+                tokio::task::spawn_local(rent_unfenced(node, term, rental));
+            }
         }
         Command::Return { machines } => {
-            tokio::task::spawn_local(async move {
-                let ok = node.cloud.give_back(&machines).await;
-                with_scheduler(&node, term, |s, now| s.returned(now, &machines, ok));
-            });
+            if !fleet_duty::give_back(&node, &machines) {
+                tokio::task::spawn_local(give_back_unfenced(node, term, machines));
+            }
         }
     }
 }
 
+/// Rents without a record, as all versions did before there were fenced duties.
+async fn rent_unfenced(node: Rc<Node>, term: u64, rental: RentRequest) {
+    let answer = match node.cloud.rent(&rental, &|| true).await {
+        Ok(names) => Ok(names),
+        Err(CloudError::NoCapacity) => Ok(Vec::new()),
+        Err(CloudError::Refused | CloudError::NotSent | CloudError::Unknown) => Err(()),
+    };
+    with_scheduler(&node, term, |s, now| {
+        s.rented(now, &rental.kind, &rental.zone, rental.spot, rental.count, answer);
+    });
+}
+
+async fn give_back_unfenced(node: Rc<Node>, term: u64, machines: Vec<String>) {
+    let gone = node.cloud.give_back(&machines, &|| true).await.is_ok();
+    with_scheduler(&node, term, |s, now| s.returned(now, &machines, gone));
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/walnutlug/src/script.rs
+++ b/crates/walnutlug/src/script.rs
@@ -74,6 +74,15 @@
         }
     }
 
+    fn flag(&mut self, name: &'static str, slot: &mut bool) {
+        self.known.push(name);
+        match self.table.raw_get::<Value>(name) {
+            Ok(Value::Nil) => {}
+            Ok(Value::Boolean(on)) => *slot = on,
+            _ => self.faults.push(format!("script: {name}: must be true or false")),
+        }
+    }
+
     fn span(&mut self, name: &'static str, slot: &mut Span, least: f64, most: f64) {
         let mut seconds = slot.as_secs();
         self.number(name, &mut seconds, least, most);
@@ -116,6 +125,7 @@
     f.span("evidence_delay", &mut t.evidence_delay, 0.1, 600.0);
     f.span("chain_step", &mut t.chain_step, 0.0, 3_600.0);
     f.count("txns_in_flight", &mut t.txns_in_flight, 1, 64);
+    f.flag("fenced_duties", &mut t.fenced_duties);
     for pair in table.pairs::<Value, Value>() {
         let Ok((key, _)) = pair else { continue };
         let name = key.to_string().unwrap_or_default();
