Loopback: real controllers against stand-ins, a leader frozen again and again, a checker

Need: the fence is to be shown on real processes. Stand-ins for state service, cloud and workers; the leader is stopped at random and at four points of an action; an independent checker reads the cloud's log.

--- /dev/null
+++ b/crates/loopback/scripts/fenced.lua
@@ -0,0 +1,3 @@
+-- Short leases and impatient returns, so that a minute holds many changes of the leader and of the fleet.
+return { leader_lease = 0.6, idle_cheap = 0.8, idle_spot = 0.8, idle_ordinary = 0.8, headroom = 0.0,
+  headroom_cheap = 0.0, patience = 3.0, fenced_duties = true }
--- /dev/null
+++ b/crates/loopback/src/cloud.rs
@@ -0,0 +1,189 @@
+//! A cloud with one type of machine that logs every rental and return. One socket for each controller, so
+//! that it is known who asks.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Instant;
+
+use axum::extract::{Query, State};
+use axum::http::StatusCode;
+use axum::routing::{get, post};
+use axum::{Json, Router};
+use serde::Deserialize;
+use serde_json::{json, Value};
+
+use crate::freeze::{Freezer, Point};
+use crate::state::{Holder, StateService};
+use crate::worker::{Fleet, Rented};
+
+/// What a request did.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Effect {
+    /// These machines were rented under a name that is new.
+    Rented(Vec<String>),
+    /// The name was known: the same answer again.
+    Repeated,
+    /// Of the machines named these were there, and so many of them ran tasks.
+    Returned { machines: Vec<String>, with_tasks: usize },
+}
+
+/// One request, as the checker wants to see it.
+#[derive(Debug, Clone)]
+pub struct Logged {
+    pub at: Instant,
+    pub node: String,
+    /// Who led when it arrived, and when it was carried out.
+    pub holder_on_arrival: Option<Holder>,
+    pub holder_on_effect: Option<Holder>,
+    /// Whether an intent stood for it when it was carried out.
+    pub recorded: bool,
+    pub effect: Effect,
+}
+
+#[derive(Default)]
+struct Inner {
+    by_request: BTreeMap<String, Vec<String>>,
+    machines: BTreeMap<String, Rented>,
+    rented: u64,
+    log: Vec<Logged>,
+}
+
+/// The cloud that all sockets share.
+pub struct Cloud {
+    inner: Mutex<Inner>,
+    state: Arc<StateService>,
+    fleet: Fleet,
+}
+
+impl Cloud {
+    pub fn new(state: Arc<StateService>, fleet: Fleet) -> Cloud {
+        Cloud { inner: Mutex::default(), state, fleet }
+    }
+
+    /// All requests so far.
+    pub fn log(&self) -> Vec<Logged> {
+        self.lock().log.clone()
+    }
+
+    /// Machines that are there.
+    pub fn machines(&self) -> Vec<String> {
+        self.lock().machines.keys().cloned().collect()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+#[derive(Clone)]
+struct Socket {
+    cloud: Arc<Cloud>,
+    freezer: Arc<Freezer>,
+    node: usize,
+}
+
+/// The cloud as one controller reaches it.
+pub fn router(cloud: Arc<Cloud>, freezer: Arc<Freezer>, node: usize) -> Router {
+    Router::new()
+        .route("/machine_types", get(types))
+        .route("/machines", get(list).post(rent))
+        .route("/machines/return", post(give_back))
+        .with_state(Socket { cloud, freezer, node })
+}
+
+async fn types() -> Json<Value> {
+    Json(json!({"breeds": [{"sku": "t8", "vcpus": 8, "gpus": 0, "memoryGb": 32, "localGb": 50,
+        "pullGbPerS": 10.0, "price": 1.0, "lowPrice": 0.4, "bootS": 1, "groves": ["a", "b"]}]}))
+}
+
+#[derive(Deserialize)]
+struct Listing {
+    #[serde(default)]
+    from: String,
+}
+
+async fn list(State(s): State<Socket>, Query(asked): Query<Listing>) -> Json<Value> {
+    let inner = s.cloud.lock();
+    let after = inner.machines.iter().filter(|(name, _)| **name > asked.from);
+    let all: Vec<Value> = after.map(|(name, machine)| machine.listed(name)).collect();
+    Json(json!({"trees": all, "hasNext": false}))
+}
+
+#[derive(Deserialize)]
+struct Rental {
+    ask: String,
+    grove: String,
+    windfall: bool,
+    count: u64,
+}
+
+async fn rent(State(s): State<Socket>, Json(rental): Json<Rental>) -> Json<Value> {
+    let on_arrival = s.cloud.state.holder();
+    s.freezer.reached(Point::RequestArrived, s.node).await;
+    let (names, started) = {
+        let recorded = s.cloud.state.has_intent(&rental.ask);
+        let holder_on_effect = s.cloud.state.holder();
+        let mut inner = s.cloud.lock();
+        let known = inner.by_request.get(&rental.ask).cloned();
+        let effect = known.as_ref().map(|_| Effect::Repeated);
+        let names = known.unwrap_or_else(|| {
+            let first = inner.rented + 1;
+            inner.rented += rental.count;
+            (first..first + rental.count).map(|n| format!("n-{n:06}")).collect()
+        });
+        let started = if effect.is_none() { names.clone() } else { Vec::new() };
+        inner.by_request.insert(rental.ask.clone(), names.clone());
+        for name in &started {
+            inner.machines.insert(name.clone(), Rented::new(&rental.grove, rental.windfall));
+        }
+        inner.log.push(Logged {
+            at: Instant::now(),
+            node: format!("kernel-{}", s.node),
+            holder_on_arrival: on_arrival,
+            holder_on_effect,
+            recorded,
+            effect: effect.unwrap_or(Effect::Rented(names.clone())),
+        });
+        (names, started)
+    };
+    for name in &started {
+        let machine = s.cloud.lock().machines.get(name).cloned();
+        if let Some(machine) = machine {
+            s.cloud.fleet.start(name, &machine).await;
+        }
+    }
+    s.freezer.reached(Point::RequestDone, s.node).await;
+    Json(json!({"trees": names}))
+}
+
+#[derive(Deserialize)]
+struct Return {
+    trees: Vec<String>,
+}
+
+async fn give_back(
+    State(s): State<Socket>,
+    Json(asked): Json<Return>,
+) -> (StatusCode, Json<Value>) {
+    let on_arrival = s.cloud.state.holder();
+    s.freezer.reached(Point::RequestArrived, s.node).await;
+    {
+        let recorded = asked.trees.iter().all(|name| s.cloud.state.has_intent(name));
+        let holder_on_effect = s.cloud.state.holder();
+        let mut inner = s.cloud.lock();
+        let there = |name: &&String| inner.machines.contains_key(*name);
+        let machines: Vec<String> = asked.trees.iter().filter(there).cloned().collect();
+        let with_tasks = machines.iter().filter(|name| s.cloud.fleet.stop(name) > 0).count();
+        machines.iter().for_each(|name| drop(inner.machines.remove(name)));
+        inner.log.push(Logged {
+            at: Instant::now(),
+            node: format!("kernel-{}", s.node),
+            holder_on_arrival: on_arrival,
+            holder_on_effect,
+            recorded,
+            effect: Effect::Returned { machines, with_tasks },
+        });
+    }
+    s.freezer.reached(Point::RequestDone, s.node).await;
+    (StatusCode::OK, Json(json!({})))
+}
--- /dev/null
+++ b/crates/loopback/src/lib.rs
@@ -0,0 +1,9 @@
+//! Real controllers on loopback against stand-ins for everything around them, a harness that freezes the
+//! leader, and a checker of what the cloud was asked.
+
+pub mod check;
+pub mod cloud;
+pub mod freeze;
+pub mod run;
+pub mod state;
+pub mod worker;
--- /dev/null
+++ b/crates/loopback/src/run.rs
@@ -0,0 +1,291 @@
+//! One run: three controllers as processes, work that rents and returns machines, and a leader that is frozen
+//! again and again.
+
+use std::path::PathBuf;
+use std::process::Stdio;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use axum::Router;
+use hdrhistogram::Histogram;
+use nix::unistd::Pid;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::process::{Child, Command};
+
+use crate::check::{check, Findings};
+use crate::cloud::{self, Cloud};
+use crate::freeze::{Freezer, Point, POINTS};
+use crate::state::{self, Holder, StateService};
+use crate::worker::{Fleet, LEASE};
+
+const NODES: usize = 3;
+const TASK_TAKES: Duration = Duration::from_millis(700);
+const SUBMIT_EVERY: Duration = Duration::from_millis(350);
+/// Longer than a leader's lease of `crates/loopback/scripts`, and than an election.
+const FREEZE: Duration = Duration::from_millis(1_300);
+const AIM_FOR: Duration = Duration::from_secs(4);
+const REST: Duration = Duration::from_millis(400);
+const LOOK_EVERY: Duration = Duration::from_millis(5);
+/// Tries for each freeze that was asked for.
+const MOST_TURNS: usize = 4;
+/// Jobs in a burst, and the pause after it in which machines become idle and are returned.
+const BURST: u64 = 6;
+const BETWEEN_BURSTS: Duration = Duration::from_millis(2_500);
+/// Once the work is done, idle machines are returned within a few seconds.
+const WIND_DOWN: Duration = Duration::from_secs(15);
+
+/// What to run, and how often to freeze.
+pub struct Plan {
+    pub program: PathBuf,
+    pub script: PathBuf,
+    pub freezes: usize,
+}
+
+/// What came of it.
+#[derive(Debug)]
+pub struct Report {
+    pub findings: Findings,
+    pub freezes: usize,
+    /// Of these, the ones at a point of an action, by its number among [`POINTS`].
+    pub aimed: [usize; POINTS.len()],
+    pub terms: usize,
+    pub intents: u64,
+    pub accepted: usize,
+    pub done: usize,
+    pub ran_twice: Vec<String>,
+    /// Times without a leader, in milliseconds.
+    pub vacant_ms: Histogram<u64>,
+}
+
+struct Controllers {
+    /// Ended with this value.
+    children: Vec<Child>,
+    users: Vec<String>,
+}
+
+/// Runs the plan on loopback.
+pub async fn run(plan: &Plan) -> Report {
+    let state = Arc::new(StateService::default());
+    let freezer = Arc::new(Freezer::new(state.clone()));
+    let ports = free_ports(2 * NODES);
+    let address = |port: u16| format!("127.0.0.1:{port}");
+    let names: Vec<String> = (0..NODES).map(|node| format!("kernel-{node}")).collect();
+    let users: Vec<String> = ports[..NODES].iter().map(|&port| address(port)).collect();
+    let fleet = Fleet::new(names.iter().cloned().zip(users.clone()).collect(), TASK_TAKES);
+    let cloud = Arc::new(Cloud::new(state.clone(), fleet.clone()));
+    let mut children = Vec::new();
+    for node in 0..NODES {
+        let state_address = serve(state::router(state.clone(), freezer.clone(), node)).await;
+        let cloud_address = serve(cloud::router(cloud.clone(), freezer.clone(), node)).await;
+        let peers = (0..NODES).filter(|&other| other != node).map(|other| {
+            json!({"node_name": names[other], "zone": "a", "peer_addr": address(ports[NODES + other])})
+        });
+        let settings = json!({
+            "node_name": names[node], "zone": "a", "listen": users[node],
+            "internal_addr": address(ports[NODES + node]), "peers": peers.collect::<Vec<_>>(),
+            "external": {"cloud": cloud_address, "state": state_address},
+            "facts": {
+                "size": NODES, "zones": ["a", "b"], "teams": [{"name": "one", "cpus": 0.0,
+                    "cpus_max": 0.0, "gpus": 0.0, "gpus_max": 0.0}],
+                "objectives": [],
+                "workers": {"report_s": 0.5, "lease_s": LEASE.as_secs_f64(), "cancel_s": 20.0},
+                "state": {"rps": 2000.0, "write_rps": 1000.0, "value_kb": 8.0, "txn_ops": 32},
+                "cloud": {"rps": 8.0, "list_lag_s": 1.0},
+                "resources": {"cpu_share": 1.0, "mem_mb": 200.0, "fd_limit": 1200},
+                "clock_error_ms": 1000.0
+            }
+        });
+        children.push(start(plan, &names[node], &settings.to_string()));
+    }
+    let pids = children.iter().map(|child| Pid::from_raw(child.id().unwrap_or(0) as i32));
+    freezer.watch(names.iter().cloned().zip(pids).collect());
+    let controllers = Controllers { children, users };
+    play(plan, &state, &freezer, &cloud, &fleet, controllers).await
+}
+
+fn start(plan: &Plan, name: &str, settings: &str) -> Child {
+    let directory = std::env::temp_dir().join(format!("walnutlug-loopback-{}", std::process::id()));
+    std::fs::create_dir_all(&directory).expect("a directory for the settings");
+    let file = directory.join(format!("{name}.json"));
+    std::fs::write(&file, settings).expect("a settings file");
+    let log = std::fs::File::create(directory.join(format!("{name}.log"))).expect("a log");
+    Command::new(&plan.program)
+        .arg("serve")
+        .arg("--script")
+        .arg(&plan.script)
+        .arg("--config")
+        .arg(file)
+        .env("LOG_LEVEL", "info")
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(log)
+        .kill_on_drop(true)
+        .spawn()
+        .expect("the program")
+}
+
+async fn play(
+    plan: &Plan,
+    state: &Arc<StateService>,
+    freezer: &Arc<Freezer>,
+    cloud: &Arc<Cloud>,
+    fleet: &Fleet,
+    mut controllers: Controllers,
+) -> Report {
+    let terms: Arc<Mutex<Terms>> = Arc::default();
+    let accepted: Arc<Mutex<Vec<String>>> = Arc::default();
+    let watching = tokio::spawn(watch_terms(state.clone(), terms.clone()));
+    let submitting = tokio::spawn(submit(controllers.users.clone(), accepted.clone()));
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let (mut freezes, mut aimed) = (0, [0; POINTS.len()]);
+    for turn in 0.. {
+        if freezes >= plan.freezes || turn > MOST_TURNS * plan.freezes {
+            break;
+        }
+        let aim = turn % (POINTS.len() + 1);
+        let frozen = match POINTS.get(aim) {
+            Some(&point) => aim_at(freezer, point).await,
+            None => freezer.freeze_holder(FREEZE).await,
+        };
+        freezes += usize::from(frozen);
+        if let Some(count) = aimed.get_mut(aim) {
+            *count += usize::from(frozen);
+        }
+        tokio::time::sleep(REST.mul_f64(rand::random_range(0.2..1.8))).await;
+    }
+    submitting.abort();
+    tokio::time::sleep(WIND_DOWN).await;
+    watching.abort();
+    let accepted = lock(&accepted).clone();
+    let done = count_done(&controllers.users, &accepted).await;
+    for child in &mut controllers.children {
+        let _ = child.start_kill();
+    }
+    let terms = lock(&terms);
+    Report {
+        findings: check(&cloud.log(), &cloud.machines()),
+        freezes,
+        aimed,
+        terms: terms.count,
+        intents: state.intents(),
+        accepted: accepted.len(),
+        done,
+        ran_twice: fleet.doubles(),
+        vacant_ms: terms.vacant_ms.clone(),
+    }
+}
+
+/// Freezes the next leader that comes to that point. Whether one did in time.
+async fn aim_at(freezer: &Freezer, point: Point) -> bool {
+    freezer.arm(point, FREEZE);
+    let until = Instant::now() + AIM_FOR;
+    while freezer.is_armed() && Instant::now() < until {
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+    let hit = !freezer.disarm();
+    if hit {
+        tokio::time::sleep(FREEZE).await;
+    }
+    hit
+}
+
+/// The terms that were seen, and the times without a leader.
+struct Terms {
+    count: usize,
+    vacant_ms: Histogram<u64>,
+}
+
+impl Default for Terms {
+    fn default() -> Terms {
+        let vacant_ms = Histogram::new_with_bounds(1, 600_000, 3).expect("bounds");
+        Terms { count: 0, vacant_ms }
+    }
+}
+
+async fn watch_terms(state: Arc<StateService>, terms: Arc<Mutex<Terms>>) {
+    let mut last: Option<Holder> = None;
+    let mut vacant_since = None;
+    loop {
+        let holder = state.holder();
+        if holder.is_none() && last.is_some() {
+            vacant_since.get_or_insert_with(Instant::now);
+        }
+        if holder.is_some() && holder != last {
+            let mut terms = lock(&terms);
+            terms.count += 1;
+            if let Some(since) = vacant_since.take() {
+                let vacant = since.elapsed().as_millis().max(1) as u64;
+                let _ = terms.vacant_ms.record(vacant);
+            }
+            last = holder;
+        }
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+}
+
+/// Submits a small job now and then, in bursts with pauses in which machines become idle.
+async fn submit(users: Vec<String>, accepted: Arc<Mutex<Vec<String>>>) {
+    let client = client();
+    for number in 1u64.. {
+        let name = format!("req-{number:06}");
+        let job = json!({"ref": name, "shell": "c", "crew": "one", "husk": "batch",
+            "rank": "normal", "nuts": rand::random_range(2..12), "vcpus": 4.0, "gpus": 0.0,
+            "memoryGb": 2.0, "seed": "i", "imageGb": 0.1, "breeds": null, "grove": null,
+            "together": false, "spread": false, "windfall": rand::random_bool(0.5), "ripenS": 1.0,
+            "stashS": 0.0, "buryS": 0.0, "harvestS": 5.0});
+        for _ in 0..20 {
+            let at = &users[rand::random_range(0..users.len())];
+            let answer = client.post(format!("http://{at}/submissions")).json(&job).send().await;
+            if answer.is_ok_and(|answer| answer.status().is_success()) {
+                lock(&accepted).push(name);
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(200)).await;
+        }
+        let pause = if number % BURST == 0 { BETWEEN_BURSTS } else { SUBMIT_EVERY };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+async fn count_done(users: &[String], jobs: &[String]) -> usize {
+    let client = client();
+    let mut done = 0;
+    for job in jobs {
+        for at in users {
+            let url = format!("http://{at}/submissions/{job}");
+            let Ok(answer) = client.get(url).send().await else { continue };
+            let body: serde_json::Value = answer.json().await.unwrap_or_default();
+            if body["stage"] == "done" {
+                done += 1;
+                break;
+            }
+        }
+    }
+    done
+}
+
+fn client() -> reqwest::Client {
+    let client = reqwest::Client::builder().timeout(Duration::from_secs(2)).no_proxy().build();
+    client.expect("a client")
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Listens on a free port of this machine and tells its address.
+async fn serve(router: Router) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a socket");
+    let address = listener.local_addr().expect("an address").to_string();
+    tokio::spawn(async move { drop(axum::serve(listener, router).await) });
+    address
+}
+
+/// Ports that nobody listens on now.
+fn free_ports(count: usize) -> Vec<u16> {
+    let bind = |_| std::net::TcpListener::bind("127.0.0.1:0").expect("a socket");
+    let listeners: Vec<_> = (0..count).map(bind).collect();
+    let port = |l: &std::net::TcpListener| l.local_addr().expect("an address").port();
+    listeners.iter().map(port).collect()
+}
