Machine types are a duty of their own, fenced; a leader without machines goes on leading

Need: any node may write the types unguarded, so a stalled one could write old prices over newer; and duties should not all lie with the leader. The duty is taken on its own lease of 12 s, handed over by a leader after 30 s if another node is served, every write is guarded by its epoch. Only where duties are fenced. Tests for both.

--- a/crates/core/src/health.rs
+++ b/crates/core/src/health.rs
@@ -36,9 +36,13 @@
     /// Whether no worker is reached any more: for a report's interval every message was lost, and there
     /// were several. Their reports may still come, through other nodes, so this leader isn't deaf; but
     /// whatever it starts is lost. (A leader cut off from the workers went on so for 40 s, lost each
-    /// start that it sent, and gave machines back that other nodes reach.)
+    /// start that it sent, and gave machines back that other nodes reach.) Without machines there is nothing
+    /// to reach. (A leader that had returned its whole idle fleet gave way for the messages that were under
+    /// way to it, and so did the next: nobody led for six seconds.)
     pub fn reaches_no_worker(&self, now: Time) -> bool {
-        self.lost_since >= MANY_LOST && now.since(self.answered_at) > self.site.report
+        self.lost_since >= MANY_LOST
+            && now.since(self.answered_at) > self.site.report
+            && self.machines.iter().any(|m| m.state == MachineState::Up)
     }
 
     /// The zones whose machines are unheard as a whole: of many machines about half should have
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -667,3 +667,22 @@
     }
     assert!(!w.leader.reaches_no_worker(w.now));
 }
+
+/// Seen on loopback: the whole fleet was idle and returned, and the messages under way to it were lost.
+#[test]
+fn a_leader_that_returned_its_whole_fleet_goes_on_leading() {
+    let names: Vec<String> = (0..20).map(|i| format!("n-{i:02}")).collect();
+    let machines: Vec<(&str, &str)> = names.iter().map(|n| (n.as_str(), "a")).collect();
+    let mut w = World::new(&machines);
+    w.submit("req-000001", &JobSpec { cpus: 8.0, ..spec(20) });
+    w.place_and_commit();
+    for command in std::mem::take(&mut w.commands) {
+        if let Command::Direct { machine, .. } = command {
+            w.leader.direct_answer(w.now, machine, DirectOutcome::Lost);
+        }
+    }
+    w.wait(4_000);
+    assert!(w.leader.reaches_no_worker(w.now), "twenty messages were lost");
+    w.leader.returned(w.now, &names, true);
+    assert!(!w.leader.reaches_no_worker(w.now), "there is nothing to reach");
+}
--- a/crates/duties/src/duty.rs
+++ b/crates/duties/src/duty.rs
@@ -2,8 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use walnutlug_core::document::Document;
 use walnutlug_core::job::keys;
-use walnutlug_core::wire::{Guard, Pair};
+use walnutlug_core::wire::{Change, Guard, Pair, Txn};
 
 /// Prefix of the keys that name the holders.
 pub const DUTY_PREFIX: &str = "duty/";
@@ -208,8 +209,14 @@
         Ok(Holding { duty, epoch, holder })
     }
 
-    /// The condition under which this holding is still in force.
-    pub fn guard(&self) -> Guard {
-        Guard { key: self.duty.key(), mark: self.epoch.revision() }
+    /// The transaction that takes the duty, if nobody holds it. Its revision becomes the epoch.
+    pub fn claim(duty: Duty, holder: &HolderRecord) -> Txn {
+        let key = duty.key();
+        let put = Change::Put {
+            put: key.clone(),
+            value: Document::new(holder),
+            lease: Some(holder.lease),
+        };
+        Txn { guards: vec![Guard { key, mark: 0 }], apply: vec![put] }
     }
 }
--- /dev/null
+++ b/crates/duties/tests/parts.rs
@@ -0,0 +1,106 @@
+//! Leases, the balance and stored records, each by itself.
+
+use serde_json::json;
+use walnutlug_core::time::{Span, Time};
+use walnutlug_core::wire::Pair;
+use walnutlug_duties::balance::{Balance, Standing};
+use walnutlug_duties::duty::{Duty, Epoch, EpochError, RecordError};
+use walnutlug_duties::intent::{intent_key, StoredIntent};
+use walnutlug_duties::lease::{certain_for, DutyLease, LeaseInput, LeaseState};
+
+const TTL: Span = Span::secs(10);
+const START: Time = Time(1 << 40);
+
+fn held() -> DutyLease {
+    let mut lease = DutyLease::new(TTL);
+    assert!(lease.step(LeaseInput::Granted { sent: START }));
+    assert!(lease.step(LeaseInput::Won { revision: 7 }));
+    lease
+}
+
+#[test]
+fn time_left_counts_from_the_sending_and_less_drift() {
+    let mut lease = held();
+    let late = START + Span::secs(4);
+    assert!(lease.permit(late).is_some());
+    // Renewed at 3 s, answered at 9 s.
+    assert!(lease.step(LeaseInput::Renewed { sent: START + Span::secs(3) }));
+    let end = START + Span::secs(3) + certain_for(TTL);
+    assert!(end < START + Span::secs(13), "clocks drift");
+    assert!(lease.permit(end - Span::millis(1)).is_some());
+    assert!(lease.permit(end).is_none(), "it stops by itself");
+    // A renewal that was overtaken by a newer one takes nothing back.
+    assert!(lease.step(LeaseInput::Renewed { sent: START + Span::secs(1) }));
+    assert_eq!(lease.held_until(), Some(end));
+    // Past its end it may still be held: a renewal that is taken shows it.
+    assert!(lease.step(LeaseInput::Renewed { sent: end + Span::secs(2) }));
+    assert!(lease.permit(end + Span::secs(3)).is_some());
+    assert!(lease.step(LeaseInput::Ended));
+    assert!(lease.permit(START).is_none());
+    assert!(!lease.step(LeaseInput::Renewed { sent: end }), "what ended can't be renewed");
+}
+
+#[test]
+fn an_epoch_that_went_back_or_is_at_its_limit_stops_the_duty() {
+    for (revision, error) in [
+        (5, EpochError::WentBack { found: 5, known: 7 }),
+        (7, EpochError::WentBack { found: 7, known: 7 }),
+        (0, EpochError::Zero),
+        (Epoch::LIMIT + 1, EpochError::AtLimit(Epoch::LIMIT + 1)),
+    ] {
+        let mut lease = DutyLease::new(TTL);
+        lease.observe(Epoch::from_revision(7).expect("an epoch"));
+        lease.step(LeaseInput::Granted { sent: START });
+        assert!(lease.step(LeaseInput::Won { revision }));
+        assert_eq!(lease.state(), LeaseState::Stopped { error });
+        assert!(lease.permit(START).is_none());
+        assert!(!lease.step(LeaseInput::Granted { sent: START }), "not again in this life");
+    }
+}
+
+#[test]
+fn a_duty_moves_away_from_the_leader_only_after_a_while() {
+    let node = |leads| Standing { leads, served: true };
+    let cut_off = Standing { leads: false, served: false };
+    let mut balance = Balance::default();
+    assert!(balance.should_take(START, node(false)));
+    let mut balance = Balance::default();
+    assert!(!balance.should_take(START, node(true)), "others first");
+    assert!(balance.should_take(START + Span::secs(4), node(true)), "somebody has to");
+    let at = |s| START + Span::secs(s);
+    assert!(!balance.should_hand_over(at(10), node(true), &[node(false)]));
+    assert!(!balance.should_hand_over(at(20), node(true), &[cut_off]), "nobody better there");
+    assert!(!balance.should_hand_over(at(45), node(true), &[node(false)]), "counted anew");
+    assert!(balance.should_hand_over(at(76), node(true), &[node(false)]));
+    assert!(!balance.should_hand_over(at(200), node(false), &[node(false)]), "no back and forth");
+}
+
+#[test]
+fn stored_intents_that_cannot_be_acted_on_are_named() {
+    let epoch = Epoch::from_revision(9).expect("an epoch");
+    let key = intent_key(Duty::Fleet, epoch, 1);
+    let read = |key: &str, value| {
+        StoredIntent::read(&Pair { key: key.to_owned(), value, mark: 1 }).map(|i| i.epoch)
+    };
+    let rent =
+        json!({"rent": {"request": "r", "kind": "t8", "zone": "a", "spot": true, "count": 2}});
+    let good =
+        json!({"format": 1, "actions": [rent, {"return": [{"name": "n-1", "tasks": false}]}]});
+    assert_eq!(read(&key, good.clone()), Ok(epoch));
+    let newer = read(&key, json!({"format": 2, "plans": []}));
+    assert!(matches!(newer, Err(RecordError::NewerFormat { found: 2, .. })), "{newer:?}");
+    let unknown = read("intent/tea/00000000000000000009/000001", good.clone());
+    assert!(matches!(unknown, Err(RecordError::UnknownDuty { .. })), "{unknown:?}");
+    let bad_epoch = read("intent/fleet/0/000001", good.clone());
+    assert!(matches!(bad_epoch, Err(RecordError::Epoch { .. })), "{bad_epoch:?}");
+    for (key, value) in [
+        (key.as_str(), json!(null)),
+        (key.as_str(), json!({"actions": []})),
+        (key.as_str(), json!({"format": 0, "actions": []})),
+        (key.as_str(), json!({"format": 1, "actions": [{"sell": 1}]})),
+        ("intent/fleet/later/000001", good),
+    ] {
+        let found = read(key, value.clone());
+        assert!(matches!(found, Err(RecordError::Unreadable { .. })), "{key} {value}: {found:?}");
+    }
+}
--- a/crates/walnutlug/src/node.rs
+++ b/crates/walnutlug/src/node.rs
@@ -2,6 +2,7 @@
 
 mod fleet_duty;
 mod lead;
+mod type_duty;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -108,6 +109,8 @@
     lease_until: Cell<Instant>,
     /// The outside actions of this node's time as the leader, if duties are fenced.
     fleet: RefCell<Option<Ledger>>,
+    /// This node's part in reading and sharing the machine types, if duties are fenced.
+    type_duty: type_duty::TypeDuty,
     /// The highest term of which this node knows.
     highest_term: Cell<Option<Epoch>>,
     /// Connections from users and workers.
@@ -179,6 +182,7 @@
             stale_told: Cell::new(false),
             lease_until: Cell::new(Instant::now()),
             fleet: RefCell::default(),
+            type_duty: type_duty::TypeDuty::default(),
             highest_term: Cell::new(None),
             open: Rc::default(),
             let_go: Cell::new(0),
@@ -494,10 +498,22 @@
             self.ready_once.set(true);
             let types = serde_json::from_value::<Vec<MachineType>>(pair.value["breeds"].clone());
             if let Ok(types) = types {
-                *self.types.borrow_mut() = usable_types(types);
+                self.take_types(&usable_types(types));
             }
         }
     }
+
+    /// The machine types are these. Whether that is new.
+    fn take_types(&self, types: &[MachineType]) -> bool {
+        if *self.types.borrow() == types {
+            return false;
+        }
+        *self.types.borrow_mut() = types.to_vec();
+        if let Some(s) = self.scheduler.borrow_mut().as_mut() {
+            s.set_types(types.to_vec());
+        }
+        true
+    }
 }
 
 pub fn run(settings: Settings, tunables: Tunables) -> std::io::Result<()> {
@@ -523,6 +539,7 @@
     tokio::task::spawn_local(peers::listen(node.clone(), internal));
     tokio::task::spawn_local(lead::election(node.clone()));
     tokio::task::spawn_local(keep_types(node.clone()));
+    tokio::task::spawn_local(type_duty::keep(node.clone()));
     tokio::task::spawn_local(tell_status(node.clone()));
     tokio::task::spawn_local(tell_times(node.clone()));
     tokio::task::spawn_local(serving::keep(node.clone()));
@@ -581,40 +598,53 @@
     }
 }
 
-/// Gets the machine types, first from the common store, and keeps them fresh while leading.
+/// Longest time between two looks at the machine types and their prices.
+const TYPES_EVERY: Duration = Duration::from_secs(60);
+/// The same while none are known.
+const TYPES_EVERY_AT_FIRST: Duration = Duration::from_secs(2);
+
+/// Gets the machine types, first from the common store, and keeps them fresh while leading or while holding
+/// the duty to share them.
 async fn keep_types(node: Rc<Node>) {
     let mut pause = Duration::from_millis(300);
     loop {
-        let leads = node.leadership.borrow().term().is_some();
-        let empty = node.types.borrow().is_empty();
-        if empty {
+        if node.types.borrow().is_empty() {
             node.read_types().await;
         }
-        if node.types.borrow().is_empty() || leads {
-            match node.cloud.types().await {
-                Ok(types) if types.is_empty() => warn!("the cloud offers no usable machine type"),
-                Ok(types) => {
-                    let changed = *node.types.borrow() != types;
-                    if changed {
-                        node.types.borrow_mut().clone_from(&types);
-                        if let Some(s) = node.scheduler.borrow_mut().as_mut() {
-                            s.set_types(types.clone());
-                        }
-                        let _ = users::share_types(&node.state, &types).await;
-                    }
-                    node.ready_once.set(true);
-                }
-                Err(e) => debug!("machine types: {e:?}"),
-            }
+        let leads = node.leadership.borrow().term().is_some();
+        let fenced = node.tunables.fenced_duties;
+        let shares = if fenced { node.type_duty.is_held(node.now()) } else { leads };
+        if node.types.borrow().is_empty() || shares {
+            ask_cloud_for_types(&node, shares || !fenced).await;
+        } else if leads {
+            node.read_types().await;
         }
         if !node.types.borrow().is_empty() {
-            pause = Duration::from_secs(60);
+            pause = TYPES_EVERY;
         }
         sleep(pause).await;
-        pause = (pause * 2).min(Duration::from_secs(60));
+        pause = (pause * 2).min(TYPES_EVERY);
         if node.types.borrow().is_empty() {
-            pause = pause.min(Duration::from_secs(2));
+            pause = pause.min(TYPES_EVERY_AT_FIRST);
+        }
+    }
+}
+
+async fn ask_cloud_for_types(node: &Node, share: bool) {
+    match node.cloud.types().await {
+        Ok(types) if types.is_empty() => warn!("the cloud offers no usable machine type"),
+        Ok(types) => {
+            let changed = node.take_types(&types);
+            if share && (changed || node.type_duty.has_yet_to_share()) {
+                if node.tunables.fenced_duties {
+                    type_duty::share(node, &types).await;
+                } else {
+                    let _ = users::share_types(&node.state, &types).await;
+                }
+            }
+            node.ready_once.set(true);
         }
+        Err(e) => debug!("machine types: {e:?}"),
     }
 }
 
--- /dev/null
+++ b/crates/walnutlug/src/node/type_duty.rs
@@ -0,0 +1,239 @@
+//! The duty of reading machine types and prices from the cloud and sharing them, which any node may hold on a
+//! lease of its own. The leader leaves it to another node if there is one.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use tokio::time::{sleep, Duration};
+use tracing::{debug, error, info, warn};
+use walnutlug_core::job::keys;
+use walnutlug_core::registry::Outcome;
+use walnutlug_core::time::{Span, Time};
+use walnutlug_core::wire::{Change, MachineType, Pair};
+use walnutlug_duties::balance::{Balance, Standing};
+use walnutlug_duties::duty::{Duty, Epoch, HolderRecord, Holding, RecordError, HOLDER_FORMAT};
+use walnutlug_duties::fence::{Fence, FencedWrite};
+use walnutlug_duties::lease::{DutyLease, LeaseInput, LeaseState};
+
+use super::{Node, PEER_FRESH};
+use crate::state::{Class, StateError};
+
+const DUTY: Duty = Duty::MachineTypes;
+const LEASE: Span = Span::secs(12);
+/// How often the holder renews its lease and the others look who holds the duty.
+const LOOK_EVERY: Duration = Duration::from_secs(4);
+
+/// A node's part in the duty.
+pub(super) struct TypeDuty {
+    lease: RefCell<DutyLease>,
+    /// The number of the lease in the state service, while there is one.
+    lease_id: RefCell<Option<u64>>,
+    balance: RefCell<Balance>,
+    /// The epoch under which the types were shared last.
+    shared: RefCell<Option<Epoch>>,
+    /// The stored fault that was logged last; each is logged once.
+    told: RefCell<Option<RecordError>>,
+}
+
+impl Default for TypeDuty {
+    fn default() -> TypeDuty {
+        TypeDuty {
+            lease: RefCell::new(DutyLease::new(LEASE)),
+            lease_id: RefCell::default(),
+            balance: RefCell::default(),
+            shared: RefCell::default(),
+            told: RefCell::default(),
+        }
+    }
+}
+
+impl TypeDuty {
+    /// Whether this node certainly holds the duty now.
+    pub(super) fn is_held(&self, now: Time) -> bool {
+        self.lease.borrow().permit(now).is_some()
+    }
+
+    /// Whether this node holds the duty and has not shared anything since it took it.
+    pub(super) fn has_yet_to_share(&self) -> bool {
+        let epoch = self.lease.borrow().epoch();
+        epoch.is_some() && *self.shared.borrow() != epoch
+    }
+
+    fn step(&self, input: LeaseInput) {
+        let mut lease = self.lease.borrow_mut();
+        let before = lease.state();
+        if !lease.step(input) {
+            return;
+        }
+        let duty = DUTY.name();
+        match (before, lease.state()) {
+            (LeaseState::Acquiring { .. }, LeaseState::Held { epoch, .. }) => {
+                info!(duty, %epoch, "this node holds the duty");
+            }
+            (LeaseState::Held { epoch, .. }, LeaseState::Idle) => {
+                info!(duty, %epoch, "this node holds the duty no more");
+            }
+            (_, LeaseState::Stopped { error }) => {
+                error!(duty, "the duty stops at this node: {error}");
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Takes, keeps and hands over the duty for as long as the node lives.
+pub(super) async fn keep(node: Rc<Node>) {
+    if !node.tunables.fenced_duties {
+        return;
+    }
+    loop {
+        let epoch = node.type_duty.lease.borrow().epoch();
+        match epoch {
+            Some(_) => renew(&node).await,
+            None => look(&node).await,
+        }
+        sleep(LOOK_EVERY.mul_f64(rand::random_range(0.8..1.0))).await;
+    }
+}
+
+fn own_standing(node: &Node) -> Standing {
+    let leads = node.leadership.borrow().term().is_some();
+    Standing { leads, served: node.state.served() }
+}
+
+fn other_standings(node: &Node) -> Vec<Standing> {
+    let leader = node.other_leader();
+    let states = node.peer_states.borrow();
+    let fresh = states.iter().filter(|(_, state)| state.heard.elapsed() < PEER_FRESH);
+    let standing = |(name, state): (&String, &super::PeerState)| Standing {
+        leads: leader.as_ref() == Some(name),
+        served: state.served,
+    };
+    fresh.map(standing).collect()
+}
+
+async fn renew(node: &Rc<Node>) {
+    let duty = &node.type_duty;
+    let Some(id) = *duty.lease_id.borrow() else { return };
+    let (now, own, others) = (node.now(), own_standing(node), other_standings(node));
+    if duty.balance.borrow_mut().should_hand_over(now, own, &others) {
+        info!(duty = DUTY.name(), "given up for a node that doesn't lead");
+        return give_up(node, id).await;
+    }
+    match node.state.touch(id).await {
+        Ok(()) => duty.step(LeaseInput::Renewed { sent: now }),
+        Err(StateError::Gone) => {
+            *duty.lease_id.borrow_mut() = None;
+            duty.step(LeaseInput::Ended);
+        }
+        Err(e) => debug!("the lease of {} is not renewed: {e}", DUTY.name()),
+    }
+}
+
+async fn give_up(node: &Node, id: u64) {
+    node.type_duty.step(LeaseInput::Ended);
+    *node.type_duty.lease_id.borrow_mut() = None;
+    let _ = node.state.release(id).await;
+}
+
+/// Looks who holds the duty, and takes it if nobody does.
+async fn look(node: &Rc<Node>) {
+    let duty = &node.type_duty;
+    match node.state.get(Class::Watch, &DUTY.key()).await {
+        Ok(Some(pair)) => {
+            duty.balance.borrow_mut().taken();
+            held_by(node, &pair).await;
+        }
+        Ok(None) => {
+            let own = own_standing(node);
+            if duty.balance.borrow_mut().should_take(node.now(), own) {
+                acquire(node).await;
+            }
+        }
+        Err(e) => debug!("who holds {} can't be read: {e}", DUTY.name()),
+    }
+}
+
+async fn held_by(node: &Rc<Node>, pair: &Pair) {
+    let mut names: Vec<&str> = node.settings.peers.iter().map(|peer| peer.name.as_str()).collect();
+    names.push(&node.settings.node_name);
+    let holding = match Holding::read(pair, &names) {
+        Ok(holding) => holding,
+        Err(fault) => {
+            // Left as it is: its lease will end, or a version that can read it will see to it.
+            if node.type_duty.told.replace(Some(fault.clone())) != Some(fault.clone()) {
+                warn!("nothing is done for the duty {}: {fault}", DUTY.name());
+            }
+            return;
+        }
+    };
+    node.type_duty.lease.borrow_mut().observe(holding.epoch);
+    let own_name = holding.holder.node == node.settings.node_name;
+    if own_name && holding.holder.incarnation != node.incarnation {
+        // This node's former life held it; nobody does now.
+        let _ = node.state.release(holding.holder.lease).await;
+    }
+}
+
+async fn acquire(node: &Rc<Node>) {
+    let duty = &node.type_duty;
+    let sent = node.now();
+    let Ok(id) = node.state.lease(Duration::from_micros(LEASE.0)).await else { return };
+    duty.step(LeaseInput::Granted { sent });
+    match create_key(node, id).await {
+        Some(revision) => {
+            *duty.lease_id.borrow_mut() = Some(id);
+            duty.step(LeaseInput::Won { revision });
+        }
+        None => {
+            duty.step(LeaseInput::Failed);
+            // Ending the lease ends whatever a late copy of the transaction might yet create.
+            let _ = node.state.release(id).await;
+        }
+    }
+}
+
+/// Creates the duty's key, and tells its revision if this node did, also where only the answer was lost.
+async fn create_key(node: &Node, lease: u64) -> Option<u64> {
+    let holder = HolderRecord {
+        format: HOLDER_FORMAT,
+        node: node.settings.node_name.clone(),
+        incarnation: node.incarnation.clone(),
+        lease,
+    };
+    let txn = Holding::claim(DUTY, &holder);
+    match node.state.commit(Class::Watch, &txn).await {
+        Outcome::Committed { mark } => Some(mark),
+        Outcome::Conflict { .. } | Outcome::Lost => {
+            let pair = node.state.get(Class::Watch, &DUTY.key()).await.ok()??;
+            let holding = Holding::read(&pair, &[&node.settings.node_name]).ok()?;
+            (holding.holder == holder).then_some(pair.mark)
+        }
+        Outcome::Refused | Outcome::TooLarge => None,
+    }
+}
+
+/// Writes the types for all nodes, if this one still holds the duty when the write is carried out.
+pub(super) async fn share(node: &Node, types: &[MachineType]) {
+    let epoch: Option<Epoch> = node.type_duty.lease.borrow().epoch();
+    let Some(epoch) = epoch else { return };
+    let value = serde_json::json!({"breeds": types});
+    if value.to_string().len() > node.state.limits().value_bytes {
+        debug!("the machine types are too long to be kept");
+        return;
+    }
+    let mut write = FencedWrite::new(&Fence::new(DUTY, epoch));
+    write.change(Change::put(keys::TYPES, value));
+    match node.state.commit(Class::Watch, &write.into_txn()).await {
+        Outcome::Committed { .. } => *node.type_duty.shared.borrow_mut() = Some(epoch),
+        Outcome::Conflict { .. } => {
+            *node.type_duty.lease_id.borrow_mut() = None;
+            node.type_duty.step(LeaseInput::Ended);
+        }
+        // The next look at the cloud is soon enough.
+        Outcome::Refused | Outcome::TooLarge | Outcome::Lost => {}
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/walnutlug/src/node/type_duty/tests.rs
@@ -0,0 +1,100 @@
+use super::*;
+use crate::users::stand_in::{Fault, StandIn};
+
+fn epoch(node: &Node) -> Option<Epoch> {
+    node.type_duty.lease.borrow().epoch()
+}
+
+/// The types in the store, if any.
+fn shared(store: &StandIn) -> Option<serde_json::Value> {
+    store.keys.borrow().get(keys::TYPES).map(|(value, _)| value["breeds"].clone())
+}
+
+#[tokio::test(start_paused = true)]
+async fn one_node_takes_the_duty_and_a_replaced_one_writes_nothing() {
+    let test = async {
+        let store = StandIn::default();
+        let c = store.cluster(2);
+        let (first, second) = (c.nodes[0].clone(), c.nodes[1].clone());
+        // A node that the state service has not answered lately doesn't try.
+        for node in [&first, &second] {
+            node.state.get(Class::Watch, keys::LEADER).await.expect("an answer");
+        }
+        look(&first).await;
+        look(&second).await;
+        assert!(first.type_duty.is_held(first.now()));
+        assert_eq!(epoch(&second), None);
+        assert!(first.type_duty.has_yet_to_share());
+        share(&first, &first.types.borrow().clone()).await;
+        assert!(shared(&store).is_some() && !first.type_duty.has_yet_to_share());
+        // Its lease ends while it stands still, and the other takes over.
+        tokio::time::advance(Duration::from_micros(LEASE.0)).await;
+        assert!(!first.type_duty.is_held(first.now()), "it stops by itself");
+        store.keys.borrow_mut().remove(&DUTY.key());
+        second.state.get(Class::Watch, keys::LEADER).await.expect("an answer");
+        look(&second).await;
+        assert!(epoch(&second) > epoch(&first));
+        let before = shared(&store);
+        share(&first, &[]).await;
+        assert_eq!(shared(&store), before, "fenced");
+        assert_eq!(epoch(&first), None, "and it knows");
+    };
+    tokio::task::LocalSet::new().run_until(test).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_claim_whose_answer_is_lost_is_read_back() {
+    let test = async {
+        let store = StandIn::default();
+        let node = store.node();
+        node.state.get(Class::Watch, keys::LEADER).await.expect("an answer");
+        store.fault(Fault::AppliedButLost);
+        look(&node).await;
+        assert!(node.type_duty.is_held(node.now()));
+    };
+    tokio::task::LocalSet::new().run_until(test).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn records_that_cannot_be_acted_on_stay_and_nothing_is_done() {
+    let odd = [
+        serde_json::json!("no record"),
+        serde_json::json!({"format": 9, "node": "kernel-1"}),
+        serde_json::json!({"format": 1, "node": "stranger", "inc": "x", "lease": 1}),
+    ];
+    for value in odd {
+        let store = StandIn::default();
+        let node = store.node();
+        store.put(&DUTY.key(), value.clone());
+        look(&node).await;
+        assert_eq!(epoch(&node), None);
+        assert!(node.type_duty.told.borrow().is_some(), "{value} is told");
+        assert_eq!(store.keys.borrow()[&DUTY.key()].0, value, "and stays");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_former_life_is_ended_and_a_leader_hands_over_to_another() {
+    let test = async {
+        let store = StandIn::default();
+        let node = store.node();
+        let former = HolderRecord {
+            format: HOLDER_FORMAT,
+            node: node.settings.node_name.clone(),
+            incarnation: "former".into(),
+            lease: 77,
+        };
+        store.put(&DUTY.key(), serde_json::to_value(&former).expect("a value"));
+        look(&node).await;
+        assert!(!store.keys.borrow().contains_key(&DUTY.key()), "its lease is ended");
+        node.state.get(Class::Watch, keys::LEADER).await.expect("an answer");
+        look(&node).await;
+        let held = epoch(&node);
+        renew(&node).await;
+        assert!(held.is_some() && epoch(&node) == held);
+        let id = node.type_duty.lease_id.borrow().expect("a lease");
+        give_up(&node, id).await;
+        assert!(epoch(&node).is_none() && !store.keys.borrow().contains_key(&DUTY.key()));
+    };
+    tokio::task::LocalSet::new().run_until(test).await;
+}
--- a/crates/walnutlug/src/users/stand_in.rs
+++ b/crates/walnutlug/src/users/stand_in.rs
@@ -241,6 +241,11 @@
                     None => answer(404, json!({"growth": self.growth.get()})),
                 }
             }
+            (_, "POST", "/leases") => {
+                self.growth.set(self.growth.get() + 1);
+                answer(200, json!({"hold": self.growth.get()}))
+            }
+            (_, "POST", _) if path.ends_with("/touch") => answer(200, json!({})),
             (_, "DELETE", _) if path.starts_with("/leases/") => {
                 // The keys on the lease go with it.
                 self.keys.borrow_mut().retain(|_, (value, _)| {
