--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -316,13 +316,13 @@
         let Some(job) = self.jobs.get_mut(&ix) else { return };
         for index in tasks {
             let task = &job.tasks[index as usize];
-            if task.phase == Phase::Done && !job.recorded[index as usize] {
+            if task.phase == Phase::Done && !job.recorded.contains(index) {
                 batch.finishes.push((ix, index));
             }
             if task.phase == Phase::Dispatching && task.token == 0 {
                 batch.starts.push((ix, index));
             }
-            if job.changed.remove(&index) {
+            if job.changed.remove(index) {
                 batch.changed.push((ix, index));
             }
         }
@@ -541,7 +541,7 @@
         }
         for &(ix, index) in &done.finishes {
             if let Some(job) = self.jobs.get_mut(&ix) {
-                job.recorded[index as usize] = true;
+                job.recorded.insert(index);
             }
         }
         for &id in &done.starts {
--- a/crates/core/src/registry.rs
+++ b/crates/core/src/registry.rs
@@ -6,6 +6,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
+use roaring::RoaringBitmap;
 use serde_json::{json, Value};
 
 use crate::chain::{Chains, Due};
@@ -223,10 +224,10 @@
     /// Marks of the parts of its chunks that are kept apart, by chunk and first task.
     pub parts: BTreeMap<(usize, u32), u64>,
     /// Tasks that changed since their records were written last.
-    pub changed: BTreeSet<u32>,
+    pub changed: RoaringBitmap,
     pub tasks: Vec<Task>,
     /// Which finishes are written; only then may the worker forget them.
-    pub recorded: Vec<bool>,
+    pub recorded: RoaringBitmap,
     /// Ended for its users: nothing more is started, all that is left is stopped.
     pub over: bool,
     pub ending: bool,
@@ -533,9 +534,9 @@
             chunk_size,
             chunks: vec![Chunk::default(); chunks],
             parts: BTreeMap::new(),
-            changed: BTreeSet::new(),
+            changed: RoaringBitmap::new(),
             tasks: vec![Task::new(now); spec.tasks as usize],
-            recorded: vec![false; spec.tasks as usize],
+            recorded: RoaringBitmap::new(),
             over: false,
             ending: false,
             dropping: false,
@@ -644,7 +645,7 @@
             }
             if phase == Phase::Done {
                 task.phase = Phase::Done;
-                job.recorded[index as usize] = true;
+                job.recorded.insert(index);
                 job.done += 1;
                 job.begun = true;
             } else if phase.placed() {
--- a/crates/core/src/reports.rs
+++ b/crates/core/src/reports.rs
@@ -97,7 +97,9 @@
             let job = job.and_then(|id| Some((self.job(id.0)?, id.1 as usize)));
             if entry.state == TaskStage::Exited {
                 let keep = job.is_some_and(|(job, index)| {
-                    !job.over && (job.tasks[index].phase != Phase::Done || !job.recorded[index])
+                    !job.over
+                        && (job.tasks[index].phase != Phase::Done
+                            || !job.recorded.contains(index as u32))
                 });
                 if !keep {
                     reaps.push(WorkerCommand::Reap {
--- a/crates/core/src/tunables.rs
+++ b/crates/core/src/tunables.rs
@@ -83,7 +83,7 @@
             evidence_delay: Span::secs(4),
             chain_step: Span::secs(5),
             txns_in_flight: 4,
-            fenced_duties: false,
+            fenced_duties: true,
         }
     }
 }
--- a/crates/walnutlug/src/script/tests.rs
+++ b/crates/walnutlug/src/script/tests.rs
@@ -7,9 +7,11 @@
 
 #[test]
 fn faults_are_named_and_all_of_them() {
-    let faults = run("return {patience = -1, headrom = 2, sick_after = 1.5, idle_spot = 'x'}")
-        .expect_err("faults");
-    for name in ["patience", "headrom", "sick_after", "idle_spot"] {
+    let faults = run(
+        "return {patience = -1, headrom = 2, sick_after = 1.5, idle_spot = 'x', fenced_duties = 1}",
+    )
+    .expect_err("faults");
+    for name in ["patience", "headrom", "sick_after", "idle_spot", "fenced_duties"] {
         assert!(faults.iter().any(|f| f.contains(name)), "{name} in {faults:?}");
     }
 }
--- a/deploy/walnutlug.lua
+++ b/deploy/walnutlug.lua
@@ -26,5 +26,5 @@
   evidence_delay = 4.0,
   chain_step = 5.0,
   txns_in_flight = 4,
-  fenced_duties = false,
+  fenced_duties = true,
 }
