A new leader's questions go first in the table's order again; overdue machines by silence

Ruled out: fenced rentals (the same without them), processor time (charged or not). Change: what a message is more urgent for goes first as ever; machines whose report alone is missing are asked after that, those heard longest ago first.

--- a/crates/core/src/commands.rs
+++ b/crates/core/src/commands.rs
@@ -2,7 +2,7 @@
 //! is for the worker's reports to tell.
 
 use crate::leadership::token;
-use crate::registry::{Command, DirectOutcome, MachineState, Scheduler, OVERDUE};
+use crate::registry::{Command, DirectOutcome, MachineState, Scheduler, TaskId, OVERDUE};
 use crate::reports::MOST_COMMANDS;
 use crate::task::{Input, MachineIx, Phase};
 use crate::time::{Span, Time};
@@ -27,14 +27,9 @@
         for &ix in &noted {
             self.machines[ix as usize].noted = false;
         }
-        // A sweep goes on where the questions of the last one ended. (Begun with the first machine each
-        // time, the machines before some two thousandth were asked again, being overdue, before the others
-        // were asked at all.)
-        let count = self.machines.len();
-        let from = self.questions_from.min(count);
-        let all = if sweep { (from..count).chain(0..from) } else { (0..0).chain(0..0) };
+        let all = if sweep { 0..self.machines.len() } else { 0..0 };
         let noted = noted.into_iter().map(|ix| ix as usize).filter(|_| !sweep);
-        let mut all_asked = true;
+        let mut overdue_machines = Vec::new();
         for ix in all.chain(noted) {
             self.looked_at_to_send += 1;
             let m = &self.machines[ix];
@@ -67,32 +62,53 @@
             // Mere questions are paced: at a take-over the whole fleet is asked.
             let ask_later =
                 m.outbox.is_empty() && starts.is_empty() && self.under_way >= most_questions;
-            if sweep && ask_later && all_asked && (unseen || missed) {
-                all_asked = false;
-                self.questions_from = ix;
-            }
             if ask_later
                 || !can_send
                 || (m.outbox.is_empty() && starts.is_empty() && !unseen && !missed)
             {
                 continue;
             }
-            m.busy = true;
-            self.under_way += 1;
-            m.in_message = ids;
-            let mut calls = std::mem::take(&mut m.outbox);
-            calls.extend(starts);
-            let command = Command::Direct {
-                machine: ix as MachineIx,
-                address: m.address.clone(),
-                token: m.token(term),
-                session: m.session,
-                calls,
-            };
-            self.out.push(command);
+            if m.outbox.is_empty() && starts.is_empty() && !unseen {
+                overdue_machines.push(ix as MachineIx);
+                continue;
+            }
+            self.post(ix as MachineIx, ids, starts);
+        }
+        self.ask_overdue(overdue_machines, most_questions);
+    }
+
+    /// Asks machines of which a report is missing, after all that a message is more urgent for, and those first
+    /// that were heard longest ago. (In the order of the table, the first two thousand were overdue again
+    /// before the others were asked at all.)
+    fn ask_overdue(&mut self, mut machines: Vec<MachineIx>, most_questions: usize) {
+        let room = most_questions.saturating_sub(self.under_way);
+        if machines.len() > room {
+            machines.sort_unstable_by_key(|&ix| self.machines[ix as usize].last_report);
+            machines.truncate(room);
+        }
+        for ix in machines {
+            self.post(ix, Vec::new(), Vec::new());
         }
     }
 
+    /// Sends the machine what waits for it, with these starts.
+    fn post(&mut self, ix: MachineIx, ids: Vec<(TaskId, u32)>, starts: Vec<WorkerCommand>) {
+        let term = self.term;
+        let m = &mut self.machines[ix as usize];
+        m.busy = true;
+        self.under_way += 1;
+        m.in_message = ids;
+        let mut calls = std::mem::take(&mut m.outbox);
+        calls.extend(starts);
+        self.out.push(Command::Direct {
+            machine: ix,
+            address: m.address.clone(),
+            token: m.token(term),
+            session: m.session,
+            calls,
+        });
+    }
+
     /// The answer to a [`Command::Direct`].
     pub fn direct_answer(&mut self, now: Time, m: MachineIx, outcome: DirectOutcome) {
         let Some(machine) = self.machines.get_mut(m as usize) else { return };
--- a/crates/core/src/registry.rs
+++ b/crates/core/src/registry.rs
@@ -327,8 +327,6 @@
     /// Machines to be looked at for something to send, each once.
     pub(crate) attention: Vec<MachineIx>,
     pub(crate) last_sweep: Time,
-    /// The first machine that the last sweep had no room to ask.
-    pub(crate) questions_from: usize,
     /// Numbers the reports that left nothing to do.
     pub(crate) next_settled: u64,
     /// Those whose holders have to be told that they hold no more.
@@ -425,7 +423,6 @@
             last_preempt: Time(0),
             attention: Vec::new(),
             last_sweep: Time(0),
-            questions_from: 0,
             next_settled: 0,
             withdrawn: Vec::new(),
             under_way: 0,
