--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -2,15 +2,13 @@
 
 use std::collections::HashMap;
 
-use crate::job::{JobSpec, SLACK};
+use crate::job::SLACK;
+use crate::market::{Market, Offer, Paper, MOST_ASKED};
 use crate::placement::Urgency;
 use crate::registry::{Command, Job, JobIx, MachineState, Scheduler};
 use crate::time::{Span, Time};
 use crate::wire::{ListedMachine, MachineStage};
 
-/// A kind of machine that can be asked for: type, zone, spot or ordinary.
-pub type Offer = (usize, String, bool);
-
 #[derive(Debug, Default)]
 pub struct Fleet {
     /// Offers refused lately, until when they are not asked again and how often in a row.
@@ -43,84 +41,9 @@
     running: f64,
 }
 
-/// Room on a machine that is there, coming or wanted, for trying placements on paper.
-struct Paper {
-    offer: usize,
-    cpus: f64,
-    gpus: f64,
-    memory: f64,
-}
-
-impl Paper {
-    /// Puts as many of `todo` tasks on it as there is room for.
-    fn take(&mut self, spec: &JobSpec, todo: u32) -> u32 {
-        let by =
-            |free: f64, takes: f64| if takes > 0.0 { (free + SLACK) / takes } else { f64::MAX };
-        let fit = by(self.cpus, spec.cpus)
-            .min(by(self.gpus, spec.gpus))
-            .min(by(self.memory, spec.memory_gb));
-        let n = (fit.max(0.0) as u32).min(todo);
-        self.cpus -= spec.cpus * f64::from(n);
-        self.gpus -= spec.gpus * f64::from(n);
-        self.memory -= spec.memory_gb * f64::from(n);
-        n
-    }
-}
-
-/// What can be asked for, and how many of each there are, are coming or are wanted. Counted once a
-/// look: at several hundred machines, counting them anew for each one wanted took whole seconds of
-/// a node's share, and was cut off at 400, where the fleet then stopped growing.
-#[derive(Default)]
-struct Market {
-    offers: Vec<Offer>,
-    price: Vec<f64>,
-    open: Vec<bool>,
-    there: Vec<u32>,
-    wanted: Vec<u32>,
-}
-
-impl Market {
-    fn add(&mut self, offer: Offer, price: f64, open: bool) -> usize {
-        self.offers.push(offer);
-        self.price.push(price);
-        self.open.push(open);
-        self.there.push(0);
-        self.wanted.push(0);
-        self.offers.len() - 1
-    }
-
-    /// The offer's place; one that the cloud doesn't name any more is added as closed.
-    fn index(&mut self, kind: usize, zone: &str, spot: bool) -> usize {
-        let known = self.offers.iter().position(|o| o.0 == kind && o.2 == spot && o.1 == zone);
-        known.unwrap_or_else(|| self.add((kind, zone.to_owned(), spot), f64::INFINITY, false))
-    }
-
-    /// The cheapest of those allowed, by price per processor. Among equals the one with fewest
-    /// machines, so that one wave doesn't take them all.
-    fn cheapest(&self, allowed: impl Fn(usize) -> bool) -> Option<usize> {
-        let open = (0..self.offers.len()).filter(|&i| self.open[i] && allowed(i));
-        open.min_by(|&a, &b| {
-            let by_price = self.price[a].total_cmp(&self.price[b]);
-            by_price.then(self.there[a].cmp(&self.there[b])).then(a.cmp(&b))
-        })
-    }
-
-    fn want(&mut self, offer: usize) {
-        self.there[offer] += 1;
-        self.wanted[offer] += 1;
-    }
-
-    /// Whether any more can be asked for in this look.
-    fn has_room(&self) -> bool {
-        self.wanted.iter().any(|&n| n < MOST_ASKED)
-    }
-}
-
 /// How long a machine that is said to be up is counted on without having answered.
 const ANSWER_WITHIN: Span = Span::secs(5);
 
-/// Machines in one request, by the protocol.
-const MOST_ASKED: u32 = 50;
 const LOOK_EVERY: Span = Span::millis(500);
 /// How often needs are compared with the fleet while no machines are asked for: a boot takes many times
 /// that. While some are, of which one request gets only so many, at every look.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod health;
 pub mod job;
 pub mod leadership;
+pub mod market;
 pub mod placement;
 pub mod registry;
 pub mod reports;
--- a/crates/walnutlug/src/node.rs
+++ b/crates/walnutlug/src/node.rs
@@ -1,7 +1,9 @@
 //! One controller node: what it knows, whom it answers and what it tells the others.
 
+mod announce;
 mod fleet_duty;
 mod lead;
+mod machine_types;
 mod type_duty;
 
 use std::cell::{Cell, RefCell};
@@ -13,25 +15,25 @@
 use hdrhistogram::Histogram;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, Notify};
-use tokio::time::{sleep, Duration, Instant};
+use tokio::time::{Duration, Instant};
 use tracing::{debug, info, warn};
-use walnutlug_core::job::{keys, End};
+use walnutlug_core::job::End;
 use walnutlug_core::leadership::{Input, Leadership, Role};
-use walnutlug_core::registry::{MachineState, Scheduler};
+use walnutlug_core::registry::Scheduler;
 use walnutlug_core::time::Time;
 use walnutlug_core::tunables::Tunables;
-use walnutlug_core::watermark::{ask_every, CancelLog, Watermark};
+use walnutlug_core::watermark::{CancelLog, Watermark};
 use walnutlug_core::wire::{is_job_ref, MachineType};
 use walnutlug_duties::duty::Epoch;
 use walnutlug_duties::ledger::Ledger;
 
-use crate::cloud::{usable_types, Cloud};
+use crate::cloud::Cloud;
 use crate::http::client::Client;
 use crate::http::server::{self, Answer, Request};
 use crate::peers::{self, Frame};
 use crate::serving::{self, Serving};
 use crate::settings::{Settings, Sockets};
-use crate::state::{Class, State};
+use crate::state::State;
 use crate::users;
 use crate::workers::{self, WorkerConnection};
 
@@ -492,28 +494,6 @@
     pub fn pump(&self) {
         self.wake.notify_one();
     }
-
-    async fn read_types(&self) {
-        if let Ok(Some(pair)) = self.state.get(Class::Submission, keys::TYPES).await {
-            self.ready_once.set(true);
-            let types = serde_json::from_value::<Vec<MachineType>>(pair.value["breeds"].clone());
-            if let Ok(types) = types {
-                self.take_types(&usable_types(types));
-            }
-        }
-    }
-
-    /// The machine types are these. Whether that is new.
-    fn take_types(&self, types: &[MachineType]) -> bool {
-        if *self.types.borrow() == types {
-            return false;
-        }
-        *self.types.borrow_mut() = types.to_vec();
-        if let Some(s) = self.scheduler.borrow_mut().as_mut() {
-            s.set_types(types.to_vec());
-        }
-        true
-    }
 }
 
 pub fn run(settings: Settings, tunables: Tunables) -> std::io::Result<()> {
@@ -538,10 +518,10 @@
     node.state.lead(false);
     tokio::task::spawn_local(peers::listen(node.clone(), internal));
     tokio::task::spawn_local(lead::election(node.clone()));
-    tokio::task::spawn_local(keep_types(node.clone()));
+    tokio::task::spawn_local(machine_types::keep(node.clone()));
     tokio::task::spawn_local(type_duty::keep(node.clone()));
-    tokio::task::spawn_local(tell_status(node.clone()));
-    tokio::task::spawn_local(tell_times(node.clone()));
+    tokio::task::spawn_local(announce::keep_telling(node.clone()));
+    tokio::task::spawn_local(announce::log_times(node.clone()));
     tokio::task::spawn_local(serving::keep(node.clone()));
     let open = node.open.clone();
     let new_handler = move || {
@@ -598,138 +578,5 @@
     }
 }
 
-/// Longest time between two looks at the machine types and their prices.
-const TYPES_EVERY: Duration = Duration::from_secs(60);
-/// The same while none are known.
-const TYPES_EVERY_AT_FIRST: Duration = Duration::from_secs(2);
-
-/// Gets the machine types, first from the common store, and keeps them fresh while leading or while holding
-/// the duty to share them.
-async fn keep_types(node: Rc<Node>) {
-    let mut pause = Duration::from_millis(300);
-    loop {
-        if node.types.borrow().is_empty() {
-            node.read_types().await;
-        }
-        let leads = node.leadership.borrow().term().is_some();
-        let fenced = node.tunables.fenced_duties;
-        let shares = if fenced { node.type_duty.is_held(node.now()) } else { leads };
-        if node.types.borrow().is_empty() || shares {
-            ask_cloud_for_types(&node, shares || !fenced).await;
-        } else if leads {
-            node.read_types().await;
-        }
-        if !node.types.borrow().is_empty() {
-            pause = TYPES_EVERY;
-        }
-        sleep(pause).await;
-        pause = (pause * 2).min(TYPES_EVERY);
-        if node.types.borrow().is_empty() {
-            pause = pause.min(TYPES_EVERY_AT_FIRST);
-        }
-    }
-}
-
-async fn ask_cloud_for_types(node: &Node, share: bool) {
-    match node.cloud.types().await {
-        Ok(types) if types.is_empty() => warn!("the cloud offers no usable machine type"),
-        Ok(types) => {
-            let changed = node.take_types(&types);
-            if share && (changed || node.type_duty.has_yet_to_share()) {
-                if node.tunables.fenced_duties {
-                    type_duty::share(node, &types).await;
-                } else {
-                    let _ = users::share_types(&node.state, &types).await;
-                }
-            }
-            node.ready_once.set(true);
-        }
-        Err(e) => debug!("machine types: {e:?}"),
-    }
-}
-
-async fn tell_status(node: Rc<Node>) {
-    let mut count = 0u32;
-    loop {
-        let leading = node.tell_status();
-        count += 1;
-        if count.is_multiple_of(6) {
-            node.redirected.set(0);
-        }
-        if leading {
-            tell_progress(&node);
-            tell_addresses(&node);
-        }
-        let probe = node.clone();
-        tokio::task::spawn_local(async move { probe.state.probe().await });
-        sleep(Duration::from_micros(ask_every(&node.site).0)).await;
-    }
-}
-
-fn tell_progress(node: &Node) {
-    let scheduler = node.scheduler.borrow();
-    let Some(s) = scheduler.as_ref() else { return };
-    let mut told = node.told.borrow_mut();
-    told.retain(|name, _| s.by_ref.contains_key(name));
-    for (name, &ix) in &s.by_ref {
-        let Some(counts) = s.counts(ix) else { continue };
-        if told.get(name) != Some(&counts) {
-            told.insert(name.clone(), counts);
-            let (done, running) = counts;
-            node.tell_peers(&Frame::Progress { job: name.clone(), done, running });
-        }
-    }
-}
-
-/// Tells the next few of the machines, by name, beginning anew after the last.
-fn tell_addresses(node: &Node) {
-    let scheduler = node.scheduler.borrow();
-    let Some(s) = scheduler.as_ref() else { return };
-    let mut told = node.addresses_told.borrow_mut();
-    let mut names: Vec<(&String, &u32)> = s
-        .by_name
-        .iter()
-        .filter(|(n, &ix)| **n > *told && s.machines[ix as usize].state == MachineState::Up)
-        .collect();
-    names.sort_unstable();
-    let most = s.by_name.len().div_ceil(ADDRESS_TURN).max(peers::MOST_MACHINES);
-    *told = match names.get(most) {
-        Some(_) => names[most - 1].0.clone(),
-        None => String::new(),
-    };
-    names.truncate(most);
-    for some in names.chunks(peers::MOST_MACHINES) {
-        let list = some.iter().filter_map(|(name, &ix)| {
-            let addr = s.machines[ix as usize].address.parse().ok()?;
-            Some(((*name).clone(), addr))
-        });
-        node.tell_peers(&Frame::Machines(list.collect()));
-    }
-}
-
-async fn tell_times(node: Rc<Node>) {
-    loop {
-        sleep(Duration::from_secs(60)).await;
-        let let_go = node.let_go.replace(0);
-        if let_go > 0 {
-            warn!(
-                reports = let_go,
-                open = node.open.get(),
-                "more workers than sockets: their connections are closed after each report"
-            );
-        }
-        let mut times = node.submit_times.borrow_mut();
-        if !times.is_empty() {
-            info!(
-                count = times.len(),
-                p50_ms = times.value_at_quantile(0.5),
-                p99_ms = times.value_at_quantile(0.99),
-                "submissions of the last minute"
-            );
-            times.reset();
-        }
-    }
-}
-
 #[cfg(test)]
 pub mod tests;
--- /dev/null
+++ b/crates/walnutlug/src/node/machine_types.rs
@@ -0,0 +1,88 @@
+//! The machine types and their prices, as a node knows them.
+
+use std::rc::Rc;
+
+use tokio::time::{sleep, Duration};
+use tracing::{debug, warn};
+use walnutlug_core::job::keys;
+use walnutlug_core::wire::MachineType;
+
+use super::{type_duty, Node};
+use crate::cloud::usable_types;
+use crate::state::Class;
+use crate::users;
+
+/// Longest time between two looks at the machine types and their prices.
+const TYPES_EVERY: Duration = Duration::from_secs(60);
+/// The same while none are known.
+const TYPES_EVERY_AT_FIRST: Duration = Duration::from_secs(2);
+
+/// Gets the machine types, first from the common store, and keeps them fresh while leading or while holding
+/// the duty to share them.
+pub(super) async fn keep(node: Rc<Node>) {
+    let mut pause = Duration::from_millis(300);
+    loop {
+        if node.types.borrow().is_empty() {
+            node.read_types().await;
+        }
+        let leads = node.leadership.borrow().term().is_some();
+        let fenced = node.tunables.fenced_duties;
+        let shares = if fenced { node.type_duty.is_held(node.now()) } else { leads };
+        if node.types.borrow().is_empty() || shares {
+            ask_cloud_for_types(&node, shares || !fenced).await;
+        } else if leads {
+            node.read_types().await;
+        }
+        if !node.types.borrow().is_empty() {
+            pause = TYPES_EVERY;
+        }
+        sleep(pause).await;
+        pause = (pause * 2).min(TYPES_EVERY);
+        if node.types.borrow().is_empty() {
+            pause = pause.min(TYPES_EVERY_AT_FIRST);
+        }
+    }
+}
+
+async fn ask_cloud_for_types(node: &Node, share: bool) {
+    match node.cloud.types().await {
+        Ok(types) if types.is_empty() => warn!("the cloud offers no usable machine type"),
+        Ok(types) => {
+            let changed = node.take_types(&types);
+            if share && (changed || node.type_duty.has_yet_to_share()) {
+                if node.tunables.fenced_duties {
+                    type_duty::share(node, &types).await;
+                } else {
+                    let _ = users::share_types(&node.state, &types).await;
+                }
+            }
+            node.ready_once.set(true);
+        }
+        Err(e) => debug!("machine types: {e:?}"),
+    }
+}
+
+impl Node {
+    /// Takes the types over from the common store.
+    pub(super) async fn read_types(&self) {
+        if let Ok(Some(pair)) = self.state.get(Class::Submission, keys::TYPES).await {
+            self.ready_once.set(true);
+            let types = serde_json::from_value::<Vec<MachineType>>(pair.value["breeds"].clone());
+            if let Ok(types) = types {
+                self.take_types(&usable_types(types));
+            }
+        }
+    }
+
+    /// The machine types are these. Whether that is new.
+    fn take_types(&self, types: &[MachineType]) -> bool {
+        if *self.types.borrow() == types {
+            return false;
+        }
+        *self.types.borrow_mut() = types.to_vec();
+        if let Some(s) = self.scheduler.borrow_mut().as_mut() {
+            s.set_types(types.to_vec());
+        }
+        true
+    }
+}
--- a/crates/walnutlug/src/node/tests.rs
+++ b/crates/walnutlug/src/node/tests.rs
@@ -1,5 +1,7 @@
 use super::*;
+use crate::state::Class;
 use crate::users::stand_in::{Cluster, Fault, StandIn};
+use walnutlug_core::job::keys;
 
 #[tokio::test(start_paused = true)]
 async fn a_node_alone_refused_is_not_ready_and_one_among_all_is() {
