--- a/crates/loopback/src/main.rs
+++ b/crates/loopback/src/main.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use clap::Parser;
 use walnutlug_loopback::run::{run, Plan};
@@ -18,12 +19,16 @@
     /// How often a leader is frozen
     #[arg(long, default_value_t = 300)]
     freezes: usize,
+    /// No freeze is begun after so many minutes
+    #[arg(long, default_value_t = 60)]
+    minutes: u64,
 }
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    let Args { program, script, freezes } = Args::parse();
-    let report = run(&Plan { program, script, freezes }).await;
+    let Args { program, script, freezes, minutes } = Args::parse();
+    let within = Duration::from_secs(60 * minutes);
+    let report = run(&Plan { program, script, freezes, within }).await;
     let vacant = |quantile| report.vacant_ms.value_at_quantile(quantile);
     println!("freezes {} (aimed at each point: {:?})", report.freezes, report.aimed);
     println!("terms {}, intents stored {}", report.terms, report.intents);
--- a/crates/loopback/src/run.rs
+++ b/crates/loopback/src/run.rs
@@ -27,8 +27,6 @@
 const AIM_FOR: Duration = Duration::from_secs(4);
 const REST: Duration = Duration::from_millis(400);
 const LOOK_EVERY: Duration = Duration::from_millis(5);
-/// Tries for each freeze that was asked for.
-const MOST_TURNS: usize = 4;
 /// Jobs in a burst, and the pause after it in which machines become idle and are returned.
 const BURST: u64 = 6;
 const BETWEEN_BURSTS: Duration = Duration::from_millis(2_500);
@@ -40,6 +38,8 @@
     pub program: PathBuf,
     pub script: PathBuf,
     pub freezes: usize,
+    /// After which time no further one is begun.
+    pub within: Duration,
 }
 
 /// What came of it.
@@ -139,8 +139,9 @@
     let submitting = tokio::spawn(submit(controllers.users.clone(), accepted.clone()));
     tokio::time::sleep(Duration::from_secs(2)).await;
     let (mut freezes, mut aimed) = (0, [0; POINTS.len()]);
+    let began = Instant::now();
     for turn in 0.. {
-        if freezes >= plan.freezes || turn > MOST_TURNS * plan.freezes {
+        if freezes >= plan.freezes || began.elapsed() >= plan.within {
             break;
         }
         let aim = turn % (POINTS.len() + 1);
