--- a/crates/loopback/src/check.rs
+++ b/crates/loopback/src/check.rs
@@ -9,6 +9,8 @@
 pub struct Findings {
     pub rentals: usize,
     pub returns: usize,
+    /// Rentals of a name that was known, which rented nothing.
+    pub repeats: usize,
     /// Requests that arrived from a node that didn't lead then.
     pub stale: usize,
     /// Of these, the ones that changed nothing, or that an intent stood for when they were carried out.
@@ -39,7 +41,10 @@
     for entry in log {
         let (changes, under_work) = match &entry.effect {
             Effect::Rented(_) => (true, 0),
-            Effect::Repeated => (false, 0),
+            Effect::Repeated => {
+                findings.repeats += 1;
+                (false, 0)
+            }
             Effect::Returned { machines, with_tasks } => {
                 let new = machines.iter().filter(|name| returned.insert((*name).clone())).count();
                 (new > 0, *with_tasks)
