Starts are sent only for the placement that a committed transaction holds

Cause: a batch, the queue of a machine and the retraction after a failed write named a task alone. A recorded start that waited for its machine was noted again by each later write of its chunk. While such a write was open, the start could be retracted and its task placed anew; the commit of the earlier placement then released the new one, which no transaction held. If the leader ended, its successor read the earlier placement, found it absent and started the task elsewhere.

Change: Placement (attempt, machine, agent epoch) identifies a decision; batches, queues and requests carry it with the task. The phase "dispatching" is split: planned, recorded, dispatching. The task's state machine sends only a recorded start, and ignores the outcome of a write, a queue entry or a refused connection that names another placement. Only the transaction that first records a start decides on it: the rejection of a later write of the chunk no longer retracts it. Starts that never will be sent (job ended, notice, other agent epoch) are retracted even while nothing can be sent. An ignored outcome is logged with what was recorded and what the task is now. Stored records are unchanged: the three phases share their code.

Why it works: a start leaves "recorded" only by being sent, found or retracted under the next attempt, so a recorded placement is unique, and the store holds it until then.

--- a/crates/controller/src/node/event_log.rs
+++ b/crates/controller/src/node/event_log.rs
@@ -3,7 +3,7 @@
 
 use tracing::info;
 use walnutlug_scheduler::event::{
-    Anomaly, Event, FleetCost, HeldShare, JobDone, MachineScaledIn, WriteCounts,
+    Anomaly, Event, FleetCost, HeldShare, JobDone, MachineScaledIn, SupersededStart, WriteCounts,
 };
 use walnutlug_scheduler::model::machine::DrainReason;
 
@@ -24,6 +24,7 @@
         Event::StartUnconfirmed { task } => {
             info!(%task, "task start unconfirmed by its deadline: state unknown");
         }
+        Event::StartSuperseded(superseded) => write_superseded(superseded),
         Event::MachineInterruptionNotice { machine } => {
             info!(%machine, "spot interruption notice");
         }
@@ -58,6 +59,19 @@
     );
 }
 
+fn write_superseded(superseded: &SupersededStart) {
+    info!(
+        task = %superseded.task,
+        outcome = ?superseded.outcome,
+        attempt = %superseded.attempt,
+        machine = %superseded.machine,
+        current_phase = ?superseded.current_phase,
+        current_attempt = %superseded.current_attempt,
+        current_machine = superseded.current_machine,
+        "task start superseded before its transaction was settled"
+    );
+}
+
 fn write_drained(machine: &str, reason: DrainReason) {
     info!(%machine, %reason, "machine drained");
 }
--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -5,13 +5,13 @@
 pub(crate) mod starts;
 
 use crate::command::{Command, MessageOutcome};
-use crate::dispatch::channel::SentStart;
 use crate::dispatch::starts::{ReleasedStarts, StartGate};
-use crate::leadership::fencing_token::{FencingToken, Term};
+use crate::leadership::fencing_token::Term;
 use crate::model::cluster::Cluster;
 use crate::model::ids::MachineIndex;
 use crate::model::job::TaskId;
 use crate::model::machine::{Machine, MachineState};
+use crate::model::start::TaskStart;
 use crate::model::task::{TaskEvent, TaskPhase};
 use crate::protocol::workers::{Heartbeat, WorkerCommand};
 use crate::reconciliation::response::MAX_COMMANDS;
@@ -114,7 +114,8 @@
     }
 
     /// Sends the task's machine a command to stop it. The command is repeated in the response to
-    /// each heartbeat until the task is gone.
+    /// each heartbeat until the task is gone. A task whose start was not sent is left alone: if its
+    /// job has ended, the start is retracted once it is recorded and its machine's turn comes.
     pub(crate) fn stop_task(
         &mut self,
         cluster: &mut Cluster,
@@ -124,11 +125,6 @@
     ) {
         let Some(job) = cluster.job(id.0) else { return };
         let task = job.tasks[id.1 as usize];
-        if task.phase == TaskPhase::Dispatching && task.token == FencingToken::NONE {
-            // The start has not been sent, and never will be now that the job has ended or the task
-            // is needed elsewhere: it is retracted when the outcome of its transaction arrives.
-            return;
-        }
         let name = format!("{}/{}", job.name, id.1);
         if !cluster.apply(now, id, TaskEvent::Stop) {
             return;
@@ -141,14 +137,21 @@
         }
     }
 
-    /// Adds a start that has been stored to the next request for its machine.
-    pub(crate) fn start_stored(&mut self, cluster: &mut Cluster, id: TaskId) {
-        let Some(job) = cluster.job(id.0) else { return };
-        let task = job.tasks[id.1 as usize];
-        if task.phase == TaskPhase::Dispatching && task.token == FencingToken::NONE {
-            cluster.machines[task.machine].channel.push_start(id);
-            self.enqueue(cluster, task.machine);
+    /// Adds a start that has been stored to the next request for its machine. Returns whether the
+    /// task still has the placement that was stored; otherwise nothing is sent for it.
+    pub(crate) fn start_stored(
+        &mut self,
+        cluster: &mut Cluster,
+        now: Timestamp,
+        start: TaskStart,
+    ) -> bool {
+        let TaskStart { task, placement } = start;
+        if !cluster.apply(now, task, TaskEvent::Recorded(placement)) {
+            return false;
         }
+        cluster.machines[placement.machine].channel.push_start(start);
+        self.enqueue(cluster, placement.machine);
+        true
     }
 
     /// Discards everything that waits to be sent to a machine that is gone.
@@ -302,7 +305,7 @@
             }
             MessageOutcome::NotSent => {
                 self.request_lost(cluster, now, index, CONNECTION_REFUSED_PAUSE);
-                retract_unsent(cluster, now, index, &request.unwrap_or_default());
+                retract_unsent(cluster, now, &request.unwrap_or_default());
             }
             // The request may still be executed minutes later. Once the fencing counter is raised,
             // a heartbeat that has seen the new token proves that the old request never will be
@@ -348,23 +351,11 @@
 }
 
 /// Retracts the starts of a request for which no connection was established. The request never
-/// left this process, so the starts are known to be absent. Only the attempts in the request are
-/// retracted: the machine may have been returned meanwhile, and the task may run elsewhere as its
-/// next attempt. In one such case the task was taken for absent and started a second time.
-fn retract_unsent(
-    cluster: &mut Cluster,
-    now: Timestamp,
-    index: MachineIndex,
-    starts: &[SentStart],
-) {
-    for start in starts {
-        let is_same_attempt = cluster.job(start.task.0).is_some_and(|job| {
-            let task = &job.tasks[start.task.1 as usize];
-            task.attempt == start.attempt && task.machine == index
-        });
-        if is_same_attempt {
-            cluster.apply(now, start.task, TaskEvent::ProvenAbsent);
-        }
+/// left this process, so the starts are known to be absent. A task that was placed anew meanwhile,
+/// because its machine was returned, keeps its placement.
+fn retract_unsent(cluster: &mut Cluster, now: Timestamp, starts: &[TaskStart]) {
+    for &TaskStart { task, placement } in starts {
+        cluster.apply(now, task, TaskEvent::NotSent(placement));
     }
 }
 
--- a/crates/scheduler/src/dispatch/channel.rs
+++ b/crates/scheduler/src/dispatch/channel.rs
@@ -1,8 +1,7 @@
 //! Outgoing messages of a single worker: at most one request is in flight, and further commands and
 //! starts wait here.
 
-use crate::model::ids::Attempt;
-use crate::model::job::TaskId;
+use crate::model::start::TaskStart;
 use crate::protocol::workers::WorkerCommand;
 use crate::time::{TimeDelta, Timestamp};
 
@@ -10,22 +9,15 @@
 /// times the first.
 const MAX_PAUSE_DOUBLINGS: u32 = 4;
 
-/// A start contained in a request, identified by task and attempt.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct SentStart {
-    pub(crate) task: TaskId,
-    pub(crate) attempt: Attempt,
-}
-
 /// Commands and starts waiting to be sent to a worker, and the request in flight to it.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct WorkerChannel {
     /// Commands to include in the next request.
     outbox: Vec<WorkerCommand>,
-    /// Tasks whose stored starts are candidates for the next request.
-    waiting_starts: Vec<TaskId>,
+    /// Stored starts that are candidates for the next request.
+    waiting_starts: Vec<TaskStart>,
     /// Starts in the request in flight, or `None` if no request is in flight.
-    request: Option<Vec<SentStart>>,
+    request: Option<Vec<TaskStart>>,
     /// Whether the machine is in the send queue of [`Messages`](super::Messages).
     is_queued: bool,
     /// Number of consecutive requests to this worker that were lost.
@@ -67,19 +59,14 @@
         self.outbox.clear();
     }
 
-    /// Adds the task's stored start to the candidates for the next request.
-    pub(super) fn push_start(&mut self, task: TaskId) {
-        self.waiting_starts.push(task);
-    }
-
-    /// Returns whether any stored starts are waiting.
-    pub(super) fn has_starts(&self) -> bool {
-        !self.waiting_starts.is_empty()
+    /// Adds a stored start to the candidates for the next request.
+    pub(super) fn push_start(&mut self, start: TaskStart) {
+        self.waiting_starts.push(start);
     }
 
     /// Removes and returns all waiting starts. The caller decides on each, and adds those that have
     /// to wait longer again.
-    pub(super) fn take_starts(&mut self) -> Vec<TaskId> {
+    pub(super) fn take_starts(&mut self) -> Vec<TaskStart> {
         std::mem::take(&mut self.waiting_starts)
     }
 
@@ -95,14 +82,14 @@
 
     /// Records that a request with these starts is being sent, and returns the other commands to
     /// include in it.
-    pub(super) fn begin_request(&mut self, starts: Vec<SentStart>) -> Vec<WorkerCommand> {
+    pub(super) fn begin_request(&mut self, starts: Vec<TaskStart>) -> Vec<WorkerCommand> {
         self.request = Some(starts);
         std::mem::take(&mut self.outbox)
     }
 
     /// Records that the request in flight has an outcome, and returns its starts, or `None` if no
     /// request was in flight.
-    pub(super) fn end_request(&mut self) -> Option<Vec<SentStart>> {
+    pub(super) fn end_request(&mut self) -> Option<Vec<TaskStart>> {
         self.request.take()
     }
 
--- a/crates/scheduler/src/dispatch/channel/tests.rs
+++ b/crates/scheduler/src/dispatch/channel/tests.rs
@@ -1,7 +1,8 @@
 //! Tests of the pause after lost requests, and of what a request contains.
 
-use super::{SentStart, WorkerChannel};
-use crate::model::ids::{Attempt, JobIndex};
+use super::WorkerChannel;
+use crate::model::ids::{AgentEpoch, Attempt, JobIndex, MachineIndex};
+use crate::model::start::{Placement, TaskStart};
 use crate::protocol::workers::WorkerCommand;
 use crate::time::{TimeDelta, Timestamp};
 
@@ -40,7 +41,9 @@
     let mut channel = WorkerChannel::default();
     channel.push(kill_command());
     channel.push_missing(vec![kill_command()]);
-    let start = SentStart { task: (JobIndex(1), 0), attempt: Attempt::FIRST };
+    let placement =
+        Placement { attempt: Attempt::FIRST, machine: MachineIndex(0), agent_epoch: AgentEpoch(1) };
+    let start = TaskStart { task: (JobIndex(1), 0), placement };
     assert_eq!(channel.begin_request(vec![start]), [kill_command()]);
     assert!(channel.has_request_in_flight() && !channel.has_commands());
     assert_eq!(channel.end_request(), Some(vec![start]));
--- a/crates/scheduler/src/dispatch/starts.rs
+++ b/crates/scheduler/src/dispatch/starts.rs
@@ -1,13 +1,11 @@
 //! Decides when a stored start is included in a request to its machine, and which starts are never
 //! sent.
 
-use crate::dispatch::channel::SentStart;
 use crate::leadership::authority::LeaderAuthority;
-use crate::leadership::fencing_token::FencingToken;
 use crate::model::cluster::Cluster;
 use crate::model::ids::MachineIndex;
-use crate::model::job::TaskId;
 use crate::model::machine::{Machine, MachineState};
+use crate::model::start::TaskStart;
 use crate::model::task::{TaskEvent, TaskPhase};
 use crate::protocol::workers::WorkerCommand;
 use crate::time::Timestamp;
@@ -24,20 +22,20 @@
 /// Starts included in one request, with their commands.
 #[derive(Debug, Default)]
 pub(super) struct ReleasedStarts {
-    pub(super) starts: Vec<SentStart>,
+    pub(super) starts: Vec<TaskStart>,
     pub(super) commands: Vec<WorkerCommand>,
 }
 
 /// Decision on a stored start that has not been sent.
 enum StartDecision {
     /// Include it in the next request.
-    Send(SentStart, WorkerCommand),
+    Send(WorkerCommand),
     /// Keep it waiting.
     Wait,
     /// Retract it: it was stored but never sent and never will be, so the attempt is known to be
     /// absent.
     Retract,
-    /// Drop it, because it is no longer a pending start of this machine.
+    /// Drop it, because it is no longer the recorded start of its task.
     Forget,
 }
 
@@ -50,8 +48,8 @@
 
 /// Selects the waiting starts to include in the request about to be sent, and marks them as sent
 /// with that request's token. The token must not be assigned any earlier: a heartbeat could then
-/// prove a start absent that still waits here. If the machine no longer accepts starts, all of them
-/// are retracted, even if no request is sent.
+/// prove a start absent that still waits here. Starts that will never be sent are retracted even if
+/// no request is sent now.
 pub(super) fn release(
     cluster: &mut Cluster,
     gate: &StartGate,
@@ -60,20 +58,19 @@
 ) -> ReleasedStarts {
     let machine = &mut cluster.machines[index];
     let mut released = ReleasedStarts::default();
-    if !machine.channel.has_starts() || (accepts_starts(machine) && !may_send_starts) {
-        return released;
-    }
     let token = machine.token(cluster.term);
-    for id in machine.channel.take_starts() {
-        match decide(cluster, gate, index, id) {
-            StartDecision::Send(start, command) => {
-                released.starts.push(start);
-                released.commands.push(command);
-                cluster.apply(gate.now, id, TaskEvent::Sent { token });
+    for start in machine.channel.take_starts() {
+        let TaskStart { task, placement } = start;
+        match decide(cluster, gate, start, may_send_starts) {
+            StartDecision::Send(command) => {
+                if cluster.apply(gate.now, task, TaskEvent::Sent { placement, token }) {
+                    released.starts.push(start);
+                    released.commands.push(command);
+                }
             }
-            StartDecision::Wait => cluster.machines[index].channel.push_start(id),
+            StartDecision::Wait => cluster.machines[index].channel.push_start(start),
             StartDecision::Retract => {
-                cluster.apply(gate.now, id, TaskEvent::ProvenAbsent);
+                cluster.apply(gate.now, task, TaskEvent::NotSent(placement));
             }
             StartDecision::Forget => {}
         }
@@ -85,42 +82,37 @@
     released
 }
 
-fn decide(cluster: &Cluster, gate: &StartGate, index: MachineIndex, id: TaskId) -> StartDecision {
+fn decide(
+    cluster: &Cluster,
+    gate: &StartGate,
+    start: TaskStart,
+    may_send_starts: bool,
+) -> StartDecision {
+    let TaskStart { task: id, placement } = start;
     let Some(job) = cluster.job(id.0) else { return StartDecision::Forget };
     let task = job.tasks[id.1 as usize];
-    let machine = &cluster.machines[index];
-    if task.phase != TaskPhase::Dispatching
-        || task.token != FencingToken::NONE
-        || task.machine != index
-    {
+    if task.phase != TaskPhase::Recorded || task.placement() != placement {
         return StartDecision::Forget;
     }
-    if job.is_ended() || !accepts_starts(machine) || task.agent_epoch != machine.agent_epoch {
+    let machine = &cluster.machines[placement.machine];
+    if job.is_ended() || !accepts_starts(machine) || placement.agent_epoch != machine.agent_epoch {
         return StartDecision::Retract;
     }
     // If another machine reports the task as live, contrary to the cluster state, it has to be
     // stopped there first.
-    if !gate.authority.may_send_start(gate.now, task.since)
+    if !may_send_starts
+        || !gate.authority.may_send_start(gate.now, task.placed_at)
         || cluster.conflicting_replicas.contains_key(&id)
     {
         return StartDecision::Wait;
     }
-    let command =
-        WorkerCommand::Run { task: format!("{}/{}", job.name, id.1), attempt: task.attempt };
-    StartDecision::Send(SentStart { task: id, attempt: task.attempt }, command)
+    let (task, attempt) = (format!("{}/{}", job.name, id.1), placement.attempt);
+    StartDecision::Send(WorkerCommand::Run { task, attempt })
 }
 
 /// Retracts all starts waiting for a machine that is gone; they will never be sent.
 pub(super) fn retract_all(cluster: &mut Cluster, now: Timestamp, index: MachineIndex) {
-    for id in cluster.machines[index].channel.take_starts() {
-        let is_waiting = cluster.job(id.0).is_some_and(|job| {
-            let task = &job.tasks[id.1 as usize];
-            task.phase == TaskPhase::Dispatching
-                && task.token == FencingToken::NONE
-                && task.machine == index
-        });
-        if is_waiting {
-            cluster.apply(now, id, TaskEvent::ProvenAbsent);
-        }
+    for TaskStart { task, placement } in cluster.machines[index].channel.take_starts() {
+        cluster.apply(now, task, TaskEvent::NotSent(placement));
     }
 }
--- a/crates/scheduler/src/event.rs
+++ b/crates/scheduler/src/event.rs
@@ -1,8 +1,12 @@
 //! Typed log events of the scheduler. The program writes each as a constant message with structured
 //! fields.
 
+use crate::model::cluster::Cluster;
+use crate::model::ids::{Attempt, MachineIndex};
 use crate::model::job_spec::Priority;
 use crate::model::machine::DrainReason;
+use crate::model::start::TaskStart;
+use crate::model::task::TaskPhase;
 use crate::time::TimeDelta;
 
 /// An event to be logged. Jobs, tasks and machines are identified by their names.
@@ -44,6 +48,8 @@
         /// Name of the task; its state is unknown from this event on.
         task: String,
     },
+    /// The outcome of a transaction was ignored for one of its starts.
+    StartSuperseded(SupersededStart),
     /// The cloud announced that it will reclaim the machine.
     MachineInterruptionNotice {
         /// Name of the machine to be reclaimed.
@@ -118,6 +124,58 @@
     pub mean_run_s: f64,
 }
 
+/// Outcome of the transaction that held a start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StartOutcome {
+    /// The transaction was committed.
+    Recorded,
+    /// The transaction was not executed.
+    NotRecorded,
+}
+
+/// A start whose transaction was settled when its task no longer waited for that outcome.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SupersededStart {
+    /// Name of the task.
+    pub task: String,
+    /// Outcome of the transaction, which was ignored for the task.
+    pub outcome: StartOutcome,
+    /// Attempt in the transaction.
+    pub attempt: Attempt,
+    /// Name of the machine in the transaction.
+    pub machine: String,
+    /// The task's phase when the outcome arrived.
+    pub current_phase: TaskPhase,
+    /// The task's attempt when the outcome arrived.
+    pub current_attempt: Attempt,
+    /// Name of the task's machine when the outcome arrived; `None` if it is on none.
+    pub current_machine: Option<String>,
+}
+
+impl SupersededStart {
+    /// Compares a settled start with the current state of its task. Returns `None` if the job is no
+    /// longer known.
+    pub(crate) fn new(
+        cluster: &Cluster,
+        start: TaskStart,
+        outcome: StartOutcome,
+    ) -> Option<SupersededStart> {
+        let TaskStart { task: (job, index), placement } = start;
+        let job = cluster.job(job)?;
+        let task = job.tasks[index as usize];
+        let machine_name = |machine: MachineIndex| cluster.machines[machine].name.clone();
+        Some(SupersededStart {
+            task: format!("{}/{index}", job.name),
+            outcome,
+            attempt: placement.attempt,
+            machine: machine_name(placement.machine),
+            current_phase: task.phase,
+            current_attempt: task.attempt,
+            current_machine: task.phase.placed().then(|| machine_name(task.machine)),
+        })
+    }
+}
+
 /// A machine that is returned to the cloud.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct MachineScaledIn {
--- a/crates/scheduler/src/model.rs
+++ b/crates/scheduler/src/model.rs
@@ -7,6 +7,7 @@
 pub mod job_state;
 pub mod machine;
 pub mod run_times;
+pub mod start;
 pub mod task;
 pub mod team;
 
--- a/crates/scheduler/src/model/cluster.rs
+++ b/crates/scheduler/src/model/cluster.rs
@@ -287,15 +287,21 @@
         let after = task.phase;
         let machine = task.machine;
         match event {
-            TaskEvent::Completed | TaskEvent::ProvenAbsent | TaskEvent::ConfirmationExpired => {
+            TaskEvent::Completed
+            | TaskEvent::ProvenAbsent
+            | TaskEvent::NotSent(_)
+            | TaskEvent::ConfirmationExpired => {
                 let chunk = job.chunk_of(id.1);
                 job.chunks[chunk].unpersisted_since.get_or_insert(now);
                 job.changed.insert(id.1);
             }
-            TaskEvent::Dispatch { .. } | TaskEvent::Retract => {
+            TaskEvent::Dispatch { .. } | TaskEvent::NotRecorded(_) => {
                 job.changed.insert(id.1);
             }
-            TaskEvent::Sent { .. } | TaskEvent::Observed | TaskEvent::Stop => {}
+            TaskEvent::Recorded(_)
+            | TaskEvent::Sent { .. }
+            | TaskEvent::Observed
+            | TaskEvent::Stop => {}
         }
         job.stopping += u32::from(after == TaskPhase::Stopping);
         job.stopping -= u32::from(before == TaskPhase::Stopping && after != TaskPhase::Stopping);
--- a/crates/scheduler/src/reconciliation/expiry.rs
+++ b/crates/scheduler/src/reconciliation/expiry.rs
@@ -1,7 +1,6 @@
 //! Finds starts that were sent to a worker and that no heartbeat has confirmed.
 
 use crate::event::Event;
-use crate::leadership::fencing_token::FencingToken;
 use crate::model::cluster::Cluster;
 use crate::model::job::TaskId;
 use crate::model::task::{TaskEvent, TaskPhase};
@@ -41,8 +40,7 @@
     let unconfirmed = placed.filter(|id| {
         cluster.job(id.0).is_some_and(|job| {
             let task = &job.tasks[id.1 as usize];
-            let is_sent = task.phase == TaskPhase::Dispatching && task.token != FencingToken::NONE;
-            is_sent && now.since(task.since) >= timeout
+            task.phase == TaskPhase::Dispatching && now.since(task.since) >= timeout
         })
     });
     unconfirmed.collect()
--- a/crates/scheduler/src/reconciliation/health.rs
+++ b/crates/scheduler/src/reconciliation/health.rs
@@ -3,7 +3,6 @@
 //! attributed ([`crate::reconciliation::task_ends`]).
 
 use crate::event::Event;
-use crate::leadership::fencing_token::FencingToken;
 use crate::model::cluster::Cluster;
 use crate::model::ids::MachineIndex;
 use crate::model::job::{Job, TaskId};
@@ -137,7 +136,7 @@
             let Some(job) = cluster.job(id.0) else { continue };
             let task = &job.tasks[id.1 as usize];
             let ran_s = job.started.get(&id.1).map_or(0.0, |&at| now.since(at).as_secs_f64());
-            let is_sent = task.token != FencingToken::NONE && task.phase != TaskPhase::Stopping;
+            let is_sent = !task.phase.is_unsent() && task.phase != TaskPhase::Stopping;
             let may_complete = ran_s + remaining_s >= run_times.expected_run(job);
             if !is_sent || may_complete || free_cpus < job.spec.cpus {
                 continue;
--- a/crates/scheduler/src/reconciliation/machine_loss.rs
+++ b/crates/scheduler/src/reconciliation/machine_loss.rs
@@ -1,11 +1,10 @@
 //! Handling of machines that are known to be gone.
 
 use crate::dispatch::Messages;
-use crate::leadership::fencing_token::FencingToken;
 use crate::model::cluster::Cluster;
 use crate::model::job::TaskId;
 use crate::model::machine::MachineState;
-use crate::model::task::{TaskEvent, TaskPhase};
+use crate::model::task::TaskEvent;
 use crate::time::Timestamp;
 
 /// Marks a machine that is known to be gone as terminated. Everything that was on it is thereby
@@ -35,10 +34,8 @@
 /// Marks the tasks as proven absent, because their machine is known to have stopped.
 pub(crate) fn tasks_lost(cluster: &mut Cluster, now: Timestamp, tasks: &[TaskId]) {
     for &id in tasks {
-        let is_unsent = cluster.job(id.0).is_some_and(|job| {
-            let task = &job.tasks[id.1 as usize];
-            task.phase == TaskPhase::Dispatching && task.token == FencingToken::NONE
-        });
+        let is_unsent =
+            cluster.job(id.0).is_some_and(|job| job.tasks[id.1 as usize].phase.is_unsent());
         // An unsent start is resolved by the outcome of its own transaction.
         if !is_unsent {
             cluster.apply(now, id, TaskEvent::ProvenAbsent);
--- a/crates/scheduler/src/reconciliation/task_ends.rs
+++ b/crates/scheduler/src/reconciliation/task_ends.rs
@@ -2,7 +2,6 @@
 //! machine or to the job.
 
 use crate::event::Event;
-use crate::leadership::fencing_token::FencingToken;
 use crate::model::ids::{Attempt, JobIndex, MachineIndex};
 use crate::model::job::TaskId;
 use crate::model::machine::DrainReason;
@@ -30,9 +29,7 @@
         if task.phase.placed() && !is_current {
             // An older attempt completed. The newer one is no longer needed: it is stopped first,
             // and the task is free only once its absence is proven.
-            if task.token != FencingToken::NONE || task.phase != TaskPhase::Dispatching {
-                self.messages.stop_task(self.cluster, self.now, id, 0.0);
-            }
+            self.messages.stop_task(self.cluster, self.now, id, 0.0);
             return;
         }
         if is_current {
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -17,19 +17,20 @@
 use crate::command::{Command, CommandQueue, ReadOutcome, TransactionOutcome};
 use crate::dispatch::starts::StartGate;
 use crate::dispatch::Messages;
-use crate::event::{Anomaly, Event};
+use crate::event::{Anomaly, Event, StartOutcome, SupersededStart};
 use crate::leadership::authority::LeaderAuthority;
 use crate::leadership::fencing_token::{FencingToken, Term};
 use crate::model::cluster::Cluster;
 use crate::model::ids::{JobIndex, MachineIndex};
 use crate::model::job::TaskId;
 use crate::model::run_times::RunTimes;
+use crate::model::start::TaskStart;
 use crate::protocol::cloud::MachineType;
 use crate::protocol::key_value::KeyValue;
 use crate::queue::dependencies::DependencyGraph;
 use crate::queue::fair_share::{self, FairShare};
 use crate::reconciliation::expiry::expire_unconfirmed_starts;
-use crate::storage::batch::{CommitEffects, StoredJobEnd};
+use crate::storage::batch::{Batch, CommitEffects, StoredJobEnd};
 use crate::storage::loader::{self, DescriptionError, LoadedJob};
 use crate::storage::transactions::{Resolution, TransactionLimits, Transactions, WriteAllowance};
 use crate::storage::write_round::WriteRound;
@@ -231,11 +232,11 @@
             }
             Resolution::NotExecuted { batch, ended } => {
                 self.jobs_ended_with_unknown_outcome(now, &ended);
-                batch.not_executed(&mut self.cluster, now);
+                self.not_executed(now, batch);
             }
             Resolution::StepDown { batch, reason } => {
                 self.commands.push(Command::StepDown(reason));
-                batch.not_executed(&mut self.cluster, now);
+                self.not_executed(now, batch);
             }
         }
     }
@@ -248,8 +249,10 @@
 
     /// Queues the starts that a committed transaction stored, and processes its job ends.
     fn committed(&mut self, now: Timestamp, effects: CommitEffects) {
-        for id in effects.starts {
-            self.messages.start_stored(&mut self.cluster, id);
+        for start in effects.starts {
+            if !self.messages.start_stored(&mut self.cluster, now, start) {
+                self.log_superseded(start, StartOutcome::Recorded);
+            }
         }
         for StoredJobEnd { job, end, event } in effects.ends {
             self.log(event);
@@ -258,6 +261,20 @@
         }
     }
 
+    /// Undoes what the transaction that was not executed would have recorded.
+    fn not_executed(&mut self, now: Timestamp, batch: Batch) {
+        for start in batch.not_executed(&mut self.cluster, now) {
+            self.log_superseded(start, StartOutcome::NotRecorded);
+        }
+    }
+
+    /// Logs that the outcome of a transaction was ignored for a start, because its task has another
+    /// placement by now or was found running or completed.
+    fn log_superseded(&mut self, start: TaskStart, outcome: StartOutcome) {
+        let superseded = SupersededStart::new(&self.cluster, start, outcome);
+        self.commands.extend(superseded.map(|event| Command::Log(Event::StartSuperseded(event))));
+    }
+
     /// Returns the commands decided since the last call, in the order in which to carry them out.
     pub fn take_commands(&mut self) -> Vec<Command> {
         self.commands.take()
--- a/crates/scheduler/src/storage/batch.rs
+++ b/crates/scheduler/src/storage/batch.rs
@@ -8,6 +8,7 @@
 use crate::model::job::{Job, TaskId};
 use crate::model::job_spec::JobEnd;
 use crate::model::job_state::JobEvent;
+use crate::model::start::TaskStart;
 use crate::model::task::TaskEvent;
 use crate::protocol::key_value::{Compare, Operation, Transaction};
 use crate::storage::deletion::RecordDeletion;
@@ -54,8 +55,8 @@
     records: Vec<TaskRecordId>,
     /// Tasks that changed since their last write and are written by this batch.
     changed: Vec<TaskId>,
-    /// Tasks whose starts may be sent to workers once the batch commits.
-    starts: Vec<TaskId>,
+    /// Starts that are not recorded yet and become recorded with the batch.
+    starts: Vec<TaskStart>,
     /// Tasks whose completion becomes durable with the batch.
     completions: Vec<TaskId>,
     ends: Vec<JobEndWrite>,
@@ -66,8 +67,8 @@
 /// Follow-up work of a committed batch, left to the scheduler.
 #[derive(Debug, Default)]
 pub(crate) struct CommitEffects {
-    /// Tasks whose starts may now be sent to workers.
-    pub(crate) starts: Vec<TaskId>,
+    /// Starts that are now stored.
+    pub(crate) starts: Vec<TaskStart>,
     /// Job ends that are now stored.
     pub(crate) ends: Vec<StoredJobEnd>,
 }
@@ -168,9 +169,9 @@
         self.changed.push(task);
     }
 
-    /// Registers a task that may be started once the batch commits.
-    pub(crate) fn note_start(&mut self, task: TaskId) {
-        self.starts.push(task);
+    /// Registers a start that becomes recorded with the batch.
+    pub(crate) fn note_start(&mut self, start: TaskStart) {
+        self.starts.push(start);
     }
 
     /// Registers a task whose completion becomes durable with the batch.
@@ -217,9 +218,10 @@
         CommitEffects { starts: self.starts, ends }
     }
 
-    /// Applies a transaction that was not executed and never will be: the starts that it contained
-    /// are pending again, and the tasks that it wrote count as changed.
-    pub(crate) fn not_executed(self, cluster: &mut Cluster, now: Timestamp) {
+    /// Applies a transaction that was not executed and never will be: the tasks whose starts it
+    /// would have recorded are pending again, and the tasks that it wrote count as changed. Returns
+    /// the starts that their tasks no longer waited for.
+    pub(crate) fn not_executed(self, cluster: &mut Cluster, now: Timestamp) -> Vec<TaskStart> {
         for ChunkId { job, chunk } in self.chunks {
             if let Some(job) = cluster.jobs.get_mut(&job) {
                 job.chunks[chunk].in_flight = false;
@@ -231,9 +233,10 @@
                 job.changed.insert(index);
             }
         }
-        for id in self.starts {
-            cluster.apply(now, id, TaskEvent::Retract);
-        }
+        let mut superseded = self.starts;
+        superseded.retain(|start| {
+            !cluster.apply(now, start.task, TaskEvent::NotRecorded(start.placement))
+        });
         for JobEndWrite { job, .. } in self.ends {
             if let Some(job) = cluster.jobs.get_mut(&job) {
                 job.apply(JobEvent::EndWriteFailed);
@@ -243,6 +246,7 @@
             deletion.not_executed(cluster);
         }
         cluster.placement_needed = true;
+        superseded
     }
 }
 
--- a/crates/scheduler/src/storage/chunk_writes.rs
+++ b/crates/scheduler/src/storage/chunk_writes.rs
@@ -10,9 +10,9 @@
 use std::collections::BTreeSet;
 use std::ops::Range;
 
-use crate::leadership::fencing_token::FencingToken;
 use crate::model::cluster::Cluster;
 use crate::model::job::{Chunk, Job};
+use crate::model::start::TaskStart;
 use crate::model::task::TaskPhase;
 use crate::storage::batch::{Batch, ChunkId, TaskRecordId};
 use crate::storage::records;
@@ -122,8 +122,8 @@
     if task.phase == TaskPhase::Done && !job.recorded.contains(index) {
         batch.note_completion(id);
     }
-    if task.phase == TaskPhase::Dispatching && task.token == FencingToken::NONE {
-        batch.note_start(id);
+    if task.phase == TaskPhase::Planned {
+        batch.note_start(TaskStart { task: id, placement: task.placement() });
     }
     if job.changed.remove(index) {
         batch.note_changed(id);
--- a/crates/scheduler/src/storage/records.rs
+++ b/crates/scheduler/src/storage/records.rs
@@ -189,7 +189,9 @@
         let progress = match TaskPhase::from_code(*code)? {
             TaskPhase::Pending => StoredProgress::Pending,
             TaskPhase::Done => StoredProgress::Done,
-            TaskPhase::Dispatching
+            TaskPhase::Planned
+            | TaskPhase::Recorded
+            | TaskPhase::Dispatching
             | TaskPhase::Running
             | TaskPhase::Stopping
             | TaskPhase::Unknown => StoredProgress::Placed(read_placement(placement)?),
--- a/crates/scheduler/tests/golden_bytes.rs
+++ b/crates/scheduler/tests/golden_bytes.rs
@@ -192,6 +192,8 @@
 fn phase_name(phase: TaskPhase) -> &'static str {
     match phase {
         TaskPhase::Pending => "pending",
+        TaskPhase::Planned => "planned",
+        TaskPhase::Recorded => "recorded",
         TaskPhase::Dispatching => "dispatching",
         TaskPhase::Running => "running",
         TaskPhase::Stopping => "stopping",
--- a/crates/scheduler/tests/random_interleavings.rs
+++ b/crates/scheduler/tests/random_interleavings.rs
@@ -15,6 +15,7 @@
 use walnutlug_scheduler::reconciliation::heartbeats::HeartbeatAnswer;
 use walnutlug_scheduler::scheduler::Scheduler;
 use walnutlug_scheduler::storage::transactions::TransactionLimits;
+use world::recorded_starts::assert_starts_are_recorded;
 use world::{spec, World};
 
 /// A message in flight, which the test delivers, repeats or loses.
@@ -143,6 +144,7 @@
         };
         s.tick(now);
         let (term, commands) = (s.term, s.take_commands());
+        assert_starts_are_recorded(&self.w.store, s, &commands);
         self.enqueue(term, commands);
     }
 
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -29,6 +29,7 @@
 
 #[path = "../transcripts/golden.rs"]
 pub mod golden;
+pub mod recorded_starts;
 pub mod transcript;
 
 /// Start of the tests' monotonic clock, in microseconds.
@@ -418,6 +419,7 @@
 
     fn take_commands(&mut self) {
         let commands = self.leader.take_commands();
+        recorded_starts::assert_starts_are_recorded(&self.store, &self.leader, &commands);
         transcript::commands(self.leader.term, &commands);
         self.commands.extend(commands);
     }
