A start waits for every machine that reports its task as live

Callers could see: a task on two machines at once, after two machines had reported it as live against the records.

Cause: the reports were kept by task alone, with one machine each. The second machine's report replaced the first, and when the second had stopped the task, the start was sent while the first still ran it.

Change: ConflictingReplicas keeps task and machine; a machine's newest heartbeat replaces only its own reports.

Tests: a_start_waits_until_every_machine_that_reports_the_task_as_live_has_stopped_it; before the change the task was on n-1 and n-2. Found by reading; whether it ever happened in operation is not known.

--- a/crates/scheduler/src/dispatch/starts.rs
+++ b/crates/scheduler/src/dispatch/starts.rs
@@ -102,7 +102,7 @@
     // stopped there first.
     if !may_send_starts
         || !gate.authority.may_send_start(gate.now, task.placed_at)
-        || cluster.conflicting_replicas.contains_key(&id)
+        || cluster.conflicting_replicas.contains(id)
     {
         return StartDecision::Wait;
     }
--- a/crates/scheduler/src/model.rs
+++ b/crates/scheduler/src/model.rs
@@ -1,6 +1,7 @@
 //! Data model of the scheduler: jobs, tasks, machines and teams, with their state machines.
 
 pub mod cluster;
+pub(crate) mod conflicting_replicas;
 pub mod ids;
 pub mod job;
 pub mod job_spec;
--- a/crates/scheduler/src/model/cluster.rs
+++ b/crates/scheduler/src/model/cluster.rs
@@ -9,6 +9,7 @@
 use walnutlug_admission::shares::Shares;
 
 use crate::leadership::fencing_token::{FencingToken, Term};
+use crate::model::conflicting_replicas::ConflictingReplicas;
 use crate::model::ids::{Attempt, JobIndex, MachineIndex};
 use crate::model::job::{Job, TaskId};
 use crate::model::job_state::JobEvent;
@@ -68,9 +69,8 @@
     pub team_usage: HashMap<String, TeamUsage>,
     /// Shares of the fleet held by each team and each of its job classes.
     pub shares: Shares,
-    /// Tasks that a machine reports as live under an attempt other than the recorded one, with that
-    /// machine. They still occupy the machine, whatever the task table says.
-    pub(crate) conflicting_replicas: BTreeMap<TaskId, MachineIndex>,
+    /// Tasks that machines report as live contrary to the task table.
+    pub(crate) conflicting_replicas: ConflictingReplicas,
     /// Set when a change may allow the next placement round to place or preempt tasks.
     pub placement_needed: bool,
     /// Last heartbeat of each machine whose exact repetition needs no processing.
@@ -97,7 +97,7 @@
             machine_types,
             team_usage: HashMap::new(),
             shares,
-            conflicting_replicas: BTreeMap::new(),
+            conflicting_replicas: ConflictingReplicas::default(),
             placement_needed: true,
             heartbeat_cache: HeartbeatCache::new(term),
         }
--- a/crates/scheduler/src/reconciliation/absence.rs
+++ b/crates/scheduler/src/reconciliation/absence.rs
@@ -66,7 +66,7 @@
     machine: MachineIndex,
     reported: &ReportedTasks,
 ) -> bool {
-    cluster.conflicting_replicas.retain(|_, on| *on != machine);
+    cluster.conflicting_replicas.clear(machine);
     let mut unexpected = 0;
     for entry in reported.iter().filter(|entry| entry.is_live()) {
         if entry.id.is_some_and(|id| cluster.is_placed(machine, id, entry.status.attempt)) {
--- a/crates/scheduler/src/reconciliation/machine_loss.rs
+++ b/crates/scheduler/src/reconciliation/machine_loss.rs
@@ -22,7 +22,7 @@
     }
     machine.state = MachineState::Terminated;
     cluster.invalidate_cached_heartbeat(index);
-    cluster.conflicting_replicas.retain(|_, on| *on != index);
+    cluster.conflicting_replicas.clear(index);
     cluster.terminated.push_back((now, index));
     // Starts waiting for the machine's next request will never be sent.
     messages.discard(cluster, now, index);
--- a/crates/scheduler/tests/task_starts.rs
+++ b/crates/scheduler/tests/task_starts.rs
@@ -636,6 +636,36 @@
     );
 }
 
+/// Two machines report other attempts of the task as live. Guards against a start that is sent when
+/// the first of them has stopped: the second report replaced the first, and ended with it.
+#[test]
+fn a_start_waits_until_every_machine_that_reports_the_task_as_live_has_stopped_it() {
+    use walnutlug_scheduler::protocol::workers::TaskState;
+    let mut w = one_machine();
+    w.submit(JOB, &spec(1));
+    w.tick();
+    let (id, transaction) = w.take_commit();
+    let outcome = w.store.apply(&transaction);
+    w.leader.transaction_answered(w.now, id, outcome);
+    let task = format!("{JOB}/0");
+    for (name, attempt) in [("n-2", Attempt(7)), ("n-3", Attempt(8))] {
+        let mut worker = world::Worker::new(name, "a");
+        worker.tasks.insert((task.clone(), attempt), (TaskState::Running, None));
+        let heartbeat = worker.heartbeat();
+        w.workers.insert(name.to_owned(), worker);
+        // The answer, which tells the worker to stop the task, is lost.
+        let _ = w.leader.handle_heartbeat(w.now, &heartbeat);
+    }
+    w.workers.get_mut("n-3").expect("worker").tasks.clear();
+    w.heartbeat("n-3");
+    w.settle();
+    assert_eq!(w.places_of(&task), ["n-2"], "no second copy is started");
+    w.workers.get_mut("n-2").expect("worker").tasks.clear();
+    w.heartbeat("n-2");
+    w.settle();
+    assert_eq!(w.places_of(&task), ["n-1"]);
+}
+
 /// The outcome of a transaction arrives for an attempt that has ended. It is ignored for the task,
 /// and the log shows what was recorded and what the task had become.
 #[test]
