Version scenario: a seed, and a job that is always cancelled before it can end

Cause: leaders_continue_work_recorded_by_the_other_version failed once beside other load: all six jobs to be cancelled were done before, so the check that the workload has aborted jobs had nothing to see. The times were drawn without a seed.

A seventh kind of job is cancelled at most one second after its acceptance, while a task runs for two. The six kinds and all checks are as they were.

--- a/crates/fault-injection/src/main.rs
+++ b/crates/fault-injection/src/main.rs
@@ -55,6 +55,9 @@
         /// Minimum time in minutes for which jobs are submitted
         #[arg(long, default_value_t = 2.0)]
         minutes: f64,
+        /// Seed of the times at which leaders are replaced and jobs are cancelled; drawn if omitted
+        #[arg(long)]
+        seed: Option<u64>,
     },
 }
 
@@ -85,9 +88,12 @@
                 .await,
             )
         }
-        ScenarioCommand::Versions { previous, script, minutes } => {
+        ScenarioCommand::Versions { previous, script, minutes, seed } => {
             let submit_time = Duration::from_secs_f64(60.0 * minutes);
-            let scenario = version_scenario::Scenario { program, previous, script, submit_time };
+            let seed = seed.unwrap_or_else(rand::random);
+            println!("seed: {seed}");
+            let scenario =
+                version_scenario::Scenario { program, previous, script, submit_time, seed };
             print_version_report(&version_scenario::run(&scenario).await)
         }
     }
--- a/crates/fault-injection/src/version_scenario.rs
+++ b/crates/fault-injection/src/version_scenario.rs
@@ -8,6 +8,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use tokio::task::JoinSet;
 
 use crate::controllers::{ControllerAddresses, ControllerSetup, Controllers, NODES};
@@ -17,7 +19,7 @@
 use crate::fake_workers::FakeWorkers;
 use crate::freeze::Freezer;
 use crate::user::UserClient;
-use crate::workload::{Workload, TEAM};
+use crate::workload::{Workload, TASK_DURATION, TEAM};
 
 /// Index of the only node that runs the earlier version.
 const PREVIOUS_VERSION_NODE: usize = 0;
@@ -26,8 +28,6 @@
 pub const MIN_ELECTIONS: usize = 3;
 /// Number of machines in the cloud. Each has eight vCPUs, and a task uses two.
 const MACHINES: usize = 10;
-/// Run time of each task, long enough that the leader changes while most tasks run.
-const TASK_DURATION: Duration = Duration::from_millis(2_000);
 /// Mean time for which a version leads; each time is 0.7 to 1.3 times as long.
 const MEAN_LEADING_TIME: Duration = Duration::from_millis(2_200);
 /// Maximum time for the election of the other version; after it the scenario ends.
@@ -53,6 +53,8 @@
     pub script: PathBuf,
     /// Minimum time for which jobs are submitted.
     pub submit_time: Duration,
+    /// Determines for how long each version leads and when jobs are cancelled.
+    pub seed: u64,
 }
 
 /// Results of the version scenario.
@@ -136,8 +138,8 @@
     let mut controllers = Controllers::start(&setup, addresses, &store, &freezer, &cloud).await;
     let user = Arc::new(UserClient::new(&controllers.api_addresses));
     let stop = Arc::new(AtomicBool::new(false));
-    let submitter = tokio::spawn(Workload::submit(user.clone(), stop.clone()));
-    change_leaders(scenario.submit_time, &mut controllers, &store).await;
+    let submitter = tokio::spawn(Workload::submit(user.clone(), stop.clone(), scenario.seed));
+    change_leaders(scenario, &mut controllers, &store).await;
     stop.store(true, Ordering::Relaxed);
     let workload = submitter.await.expect("submission task panicked");
     let stages_by_node = wait_until_jobs_ended(&user, &workload).await;
@@ -153,10 +155,12 @@
 /// Moves leadership back and forth between the versions until the submission time is over and
 /// enough elections took place.
 async fn change_leaders(
-    submit_time: Duration,
+    scenario: &Scenario,
     controllers: &mut Controllers,
     store: &FakeKeyValueService,
 ) {
+    let submit_time = scenario.submit_time;
+    let mut rng = StdRng::seed_from_u64(scenario.seed);
     let started_at = Instant::now();
     loop {
         let elected = history(store, controllers).elections.min();
@@ -164,7 +168,7 @@
         if over || started_at.elapsed() >= submit_time + MAX_EXTENSION {
             return;
         }
-        tokio::time::sleep(MEAN_LEADING_TIME.mul_f64(rand::random_range(0.7..1.3))).await;
+        tokio::time::sleep(MEAN_LEADING_TIME.mul_f64(rng.random_range(0.7..1.3))).await;
         if !replace_leading_version(controllers, store).await {
             return;
         }
--- a/crates/fault-injection/src/workload.rs
+++ b/crates/fault-injection/src/workload.rs
@@ -2,10 +2,13 @@
 //! are cancelled, submitted to all controllers in turn.
 
 use std::collections::BTreeSet;
+use std::ops::Range;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use serde_json::json;
 use tokio::task::JoinSet;
 
@@ -17,8 +20,30 @@
 const SUBMIT_INTERVAL: Duration = Duration::from_millis(400);
 /// Deadline of each job in seconds, short enough that machines are rented immediately.
 const DEADLINE_S: f64 = 5.0;
-/// Maximum time between the acceptance of a job and its cancellation.
-const MAX_CANCEL_DELAY: Duration = Duration::from_secs(4);
+/// Run time of each task, long enough that the leader changes while most tasks run.
+pub const TASK_DURATION: Duration = Duration::from_millis(2_000);
+
+/// Whether a job is cancelled, and when.
+#[derive(Clone, Copy)]
+enum Cancellation {
+    Never,
+    /// Before, while or after the job's tasks run.
+    AnyTime,
+    /// Before a task of the job can have run to its end.
+    BeforeFirstEnd,
+}
+
+impl Cancellation {
+    /// Returns the range of the time between the acceptance of a job and its cancellation, in
+    /// milliseconds; `None` if it is not cancelled.
+    fn delay_range_ms(self) -> Option<Range<u64>> {
+        match self {
+            Cancellation::Never => None,
+            Cancellation::AnyTime => Some(400..4_000),
+            Cancellation::BeforeFirstEnd => Some(100..TASK_DURATION.as_millis() as u64 / 2),
+        }
+    }
+}
 
 /// Kind of job in the workload: the number of its tasks, its dependencies, and whether it is
 /// cancelled. Each entry of `dependencies` is the distance, in submissions, back to a job that this
@@ -26,17 +51,18 @@
 struct JobKind {
     tasks: u32,
     dependencies: &'static [usize],
-    cancelled: bool,
+    cancellation: Cancellation,
 }
 
 /// Job kinds in the order of submission; the sequence repeats.
-const JOB_KINDS: [JobKind; 6] = [
-    JobKind { tasks: 6, dependencies: &[], cancelled: false },
-    JobKind { tasks: 1, dependencies: &[], cancelled: false },
-    JobKind { tasks: 3, dependencies: &[1, 2], cancelled: false },
-    JobKind { tasks: 4, dependencies: &[], cancelled: true },
-    JobKind { tasks: 1, dependencies: &[1], cancelled: false },
-    JobKind { tasks: 2, dependencies: &[3], cancelled: false },
+const JOB_KINDS: [JobKind; 7] = [
+    JobKind { tasks: 6, dependencies: &[], cancellation: Cancellation::Never },
+    JobKind { tasks: 1, dependencies: &[], cancellation: Cancellation::Never },
+    JobKind { tasks: 3, dependencies: &[1, 2], cancellation: Cancellation::Never },
+    JobKind { tasks: 4, dependencies: &[], cancellation: Cancellation::AnyTime },
+    JobKind { tasks: 1, dependencies: &[1], cancellation: Cancellation::Never },
+    JobKind { tasks: 2, dependencies: &[3], cancellation: Cancellation::Never },
+    JobKind { tasks: 2, dependencies: &[], cancellation: Cancellation::BeforeFirstEnd },
 ];
 
 /// Job that a controller accepted.
@@ -62,17 +88,22 @@
 }
 
 impl Workload {
-    /// Submits jobs until `stop` is set, then waits for the responses to all cancellations.
-    pub async fn submit(client: Arc<UserClient>, stop: Arc<AtomicBool>) -> Workload {
+    /// Submits jobs until `stop` is set, then waits for the responses to all cancellations. The
+    /// times of the cancellations follow from the seed.
+    pub async fn submit(client: Arc<UserClient>, stop: Arc<AtomicBool>, seed: u64) -> Workload {
+        let mut rng = StdRng::seed_from_u64(seed);
         let mut workload = Workload::default();
         let mut cancellations: JoinSet<(String, Option<String>)> = JoinSet::new();
         let kinds = JOB_KINDS.iter().cycle();
         for (number, kind) in kinds.enumerate().take_while(|_| !stop.load(Ordering::Relaxed)) {
-            if workload.submit_job(&client, number, kind).await && kind.cancelled {
+            // Drawn whether or not the job is accepted, so that it depends on the number alone.
+            let cancel_delay_ms =
+                kind.cancellation.delay_range_ms().map(|range| rng.random_range(range));
+            let accepted = workload.submit_job(&client, number, kind).await;
+            if let Some(delay_ms) = cancel_delay_ms.filter(|_| accepted) {
                 let (client, name) = (client.clone(), job_name(number));
                 cancellations.spawn(async move {
-                    tokio::time::sleep(MAX_CANCEL_DELAY.mul_f64(rand::random_range(0.1..1.0)))
-                        .await;
+                    tokio::time::sleep(Duration::from_millis(delay_ms)).await;
                     let stage = client.cancel(&name, number % client.controllers()).await;
                     (name, stage)
                 });
