TaskId has named fields, and a task is looked up and named in one place

Cause: a task was a pair of numbers, its lookup and its name stood in a dozen places each, and Job::recorded (stored completions) could be taken for the phase of the same name.

Change: TaskId { job, index } in model::ids; Cluster::task, Cluster::task_name, Job::task_name and Job::leave_zone; the machine table in model::cluster::machine_table; Job::stored_completions.

--- a/crates/scheduler/src/autoscaling.rs
+++ b/crates/scheduler/src/autoscaling.rs
@@ -149,9 +149,9 @@
             *(if m.spot { &mut cost.idle_spot } else { &mut cost.idle_ordinary }) +=
                 amount * idle_share;
             for id in &m.tasks {
-                let Some(job) = self.cluster.job(id.0) else { continue };
+                let Some(job) = self.cluster.job(id.job) else { continue };
                 let share = amount * share_of(job.spec.cpus, kind.cpus);
-                if job.started.contains_key(&id.1) {
+                if job.started.contains_key(&id.index) {
                     cost.running += share;
                 } else {
                     cost.fetching += share;
--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -8,8 +8,7 @@
 use crate::dispatch::starts::{ReleasedStarts, StartGate};
 use crate::leadership::fencing_token::Term;
 use crate::model::cluster::Cluster;
-use crate::model::ids::MachineIndex;
-use crate::model::job::TaskId;
+use crate::model::ids::{MachineIndex, TaskId};
 use crate::model::machine::{Machine, MachineState};
 use crate::model::start::TaskStart;
 use crate::model::task::{TaskEvent, TaskPhase};
@@ -123,12 +122,10 @@
         id: TaskId,
         grace_s: f64,
     ) {
-        let Some(job) = cluster.job(id.0) else { return };
-        let task = job.tasks[id.1 as usize];
-        let name = format!("{}/{}", job.name, id.1);
         if !cluster.apply(now, id, TaskEvent::Stop) {
             return;
         }
+        let (Some(&task), Some(name)) = (cluster.task(id), cluster.task_name(id)) else { return };
         let machine = &mut cluster.machines[task.machine];
         if machine.state == MachineState::Up {
             let attempt = task.attempt;
@@ -368,10 +365,10 @@
         return;
     }
     let stop_command = |id: &TaskId| {
-        let job = cluster.job(id.0).filter(|job| job.is_ended())?;
-        let task = &job.tasks[id.1 as usize];
+        let job = cluster.job(id.job).filter(|job| job.is_ended())?;
+        let task = &job.tasks[id.index as usize];
         let command = WorkerCommand::Kill {
-            task: format!("{}/{}", job.name, id.1),
+            task: job.task_name(id.index),
             attempt: task.attempt,
             grace_s: 0.0,
         };
--- a/crates/scheduler/src/dispatch/channel/tests.rs
+++ b/crates/scheduler/src/dispatch/channel/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of the pause after lost requests, and of what a request contains.
 
 use super::WorkerChannel;
-use crate::model::ids::{AgentEpoch, Attempt, JobIndex, MachineIndex};
+use crate::model::ids::{AgentEpoch, Attempt, JobIndex, MachineIndex, TaskId};
 use crate::model::start::{Placement, TaskStart};
 use crate::protocol::workers::WorkerCommand;
 use crate::time::{TimeDelta, Timestamp};
@@ -43,7 +43,7 @@
     channel.push_missing(vec![kill_command()]);
     let placement =
         Placement { attempt: Attempt::FIRST, machine: MachineIndex(0), agent_epoch: AgentEpoch(1) };
-    let start = TaskStart { task: (JobIndex(1), 0), placement };
+    let start = TaskStart { task: TaskId { job: JobIndex(1), index: 0 }, placement };
     assert_eq!(channel.begin_request(vec![start]), [kill_command()]);
     assert!(channel.has_request_in_flight() && !channel.has_commands());
     assert_eq!(channel.end_request(), Some(vec![start]));
--- a/crates/scheduler/src/dispatch/starts.rs
+++ b/crates/scheduler/src/dispatch/starts.rs
@@ -89,8 +89,8 @@
     may_send_starts: bool,
 ) -> StartDecision {
     let TaskStart { task: id, placement } = start;
-    let Some(job) = cluster.job(id.0) else { return StartDecision::Forget };
-    let task = job.tasks[id.1 as usize];
+    let Some(job) = cluster.job(id.job) else { return StartDecision::Forget };
+    let task = job.tasks[id.index as usize];
     if task.phase != TaskPhase::Recorded || task.placement() != placement {
         return StartDecision::Forget;
     }
@@ -106,7 +106,7 @@
     {
         return StartDecision::Wait;
     }
-    let (task, attempt) = (format!("{}/{}", job.name, id.1), placement.attempt);
+    let (task, attempt) = (job.task_name(id.index), placement.attempt);
     StartDecision::Send(WorkerCommand::Run { task, attempt })
 }
 
--- a/crates/scheduler/src/event.rs
+++ b/crates/scheduler/src/event.rs
@@ -160,12 +160,11 @@
         start: TaskStart,
         outcome: StartOutcome,
     ) -> Option<SupersededStart> {
-        let TaskStart { task: (job, index), placement } = start;
-        let job = cluster.job(job)?;
-        let task = job.tasks[index as usize];
+        let TaskStart { task: id, placement } = start;
+        let task = cluster.task(id)?;
         let machine_name = |machine: MachineIndex| cluster.machines[machine].name.clone();
         Some(SupersededStart {
-            task: format!("{}/{index}", job.name),
+            task: cluster.task_name(id)?,
             outcome,
             attempt: placement.attempt,
             machine: machine_name(placement.machine),
--- a/crates/scheduler/src/model/cluster.rs
+++ b/crates/scheduler/src/model/cluster.rs
@@ -4,24 +4,23 @@
 //! Every change of a task's state goes through `Cluster::apply`, which keeps the aggregates of its
 //! job, machine, team and class consistent with it.
 
+mod machine_table;
+
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use walnutlug_admission::shares::Shares;
 
 use crate::leadership::fencing_token::{FencingToken, Term};
 use crate::model::conflicting_replicas::ConflictingReplicas;
-use crate::model::ids::{Attempt, JobIndex, MachineIndex};
-use crate::model::job::{Job, TaskId};
+use crate::model::ids::{Attempt, JobIndex, MachineIndex, TaskId};
+use crate::model::job::Job;
 use crate::model::job_state::JobEvent;
-use crate::model::machine::{Machine, MachineState};
+use crate::model::machine::Machine;
 use crate::model::task::{Task, TaskEvent, TaskPhase};
 use crate::protocol::cloud::MachineType;
 use crate::reconciliation::heartbeat_cache::{CacheInvalidation, HeartbeatCache};
 use crate::time::{TimeDelta, Timestamp};
 
-/// How long a terminated machine keeps its table entry, so that its late heartbeats are still
-/// recognised.
-const TERMINATED_RETENTION: TimeDelta = TimeDelta::from_secs(600);
 /// Minimum time from the placement of a task until it runs: one storage write, one request to the
 /// worker and, in most cases, an image fetch.
 const MIN_START_LATENCY: TimeDelta = TimeDelta::from_secs(1);
@@ -104,8 +103,18 @@
     }
 
     /// Returns the job with this index. A job stays in the table until its last record is deleted.
-    pub fn job(&self, ix: JobIndex) -> Option<&Job> {
-        self.jobs.get(&ix)
+    pub fn job(&self, index: JobIndex) -> Option<&Job> {
+        self.jobs.get(&index)
+    }
+
+    /// Returns the task, unless its job was removed.
+    pub(crate) fn task(&self, id: TaskId) -> Option<&Task> {
+        self.job(id.job)?.tasks.get(id.index as usize)
+    }
+
+    /// Returns the name under which workers and users know the task, unless its job was removed.
+    pub(crate) fn task_name(&self, id: TaskId) -> Option<String> {
+        self.job(id.job).map(|job| job.task_name(id.index))
     }
 
     /// Adds a job and returns its index, which was never used before.
@@ -141,7 +150,10 @@
     pub(crate) fn placed_tasks(&self, index: JobIndex) -> Vec<TaskId> {
         let Some(job) = self.job(index) else { return Vec::new() };
         let tasks = (0..).zip(&job.tasks);
-        tasks.filter(|(_, task)| task.phase.placed()).map(|(task, _)| (index, task)).collect()
+        tasks
+            .filter(|(_, task)| task.phase.placed())
+            .map(|(task, _)| TaskId { job: index, index: task })
+            .collect()
     }
 
     /// Plans the start of a task on a machine. The start is sent only after it has been written.
@@ -156,9 +168,9 @@
         if !self.apply(now, id, TaskEvent::Dispatch { machine, agent_epoch }) {
             return None;
         }
-        let job = self.jobs.get_mut(&id.0)?;
+        let job = self.jobs.get_mut(&id.job)?;
         let image = job.spec.image.clone();
-        let chunk = job.chunk_of(id.1);
+        let chunk = job.chunk_of(id.index);
         let start_due = &mut job.chunks[chunk].start_due;
         let planned = StartPlanned {
             first_of_chunk: start_due.is_none(),
@@ -176,73 +188,19 @@
         (0..self.machines.len()).map(MachineIndex::from)
     }
 
-    /// Returns the index of the machine with this name. An unknown machine is added in the state
-    /// `Booting`, without an address.
-    pub fn machine_named(&mut self, now: Timestamp, name: &str) -> MachineIndex {
-        if let Some(&ix) = self.machines_by_name.get(name) {
-            return ix;
-        }
-        let machine = Machine::new(now, name);
-        let ix = match self.reusable_entry(now) {
-            Some(ix) => {
-                self.machines_by_name.remove(&self.machines[ix].name);
-                self.machines[ix] = machine;
-                ix
-            }
-            None => {
-                self.machines.push(machine);
-                MachineIndex::from(self.machines.len() - 1)
-            }
-        };
-        self.machines_by_name.insert(name.to_owned(), ix);
-        ix
-    }
-
-    /// Returns a table entry that can be reused, so that the table does not grow for the whole term
-    /// of a leader. The machine must have been terminated for [`TERMINATED_RETENTION`], with
-    /// nothing left that refers to it. Only the oldest entry is checked: checking all of them for
-    /// every new machine made loading the machine list after a failover quadratic.
-    fn reusable_entry(&mut self, now: Timestamp) -> Option<MachineIndex> {
-        let &(gone_at, ix) = self.terminated.front()?;
-        if now.since(gone_at) <= TERMINATED_RETENTION {
-            return None;
-        }
-        self.terminated.pop_front();
-        let m = &self.machines[ix];
-        if m.state == MachineState::Terminated
-            && m.tasks.is_empty()
-            && !m.channel.has_request_in_flight()
-        {
-            return Some(ix);
-        }
-        self.terminated.push_back((now, ix));
-        None
-    }
-
-    /// Records a machine's address as told by another node. The address is unverified, so
-    /// it is only used to ask the machine for a heartbeat.
-    pub fn hint_address(&mut self, now: Timestamp, name: &str, address: &str) {
-        let m = self.machine_named(now, name);
-        let machine = &mut self.machines[m];
-        if machine.state == MachineState::Booting && machine.address.is_empty() {
-            machine.address = address.to_owned();
-            machine.hinted_up_at.get_or_insert(now);
-        }
-    }
-
     /// Returns the names of all jobs that have not ended as far as this leader knows.
     pub fn open_jobs(&self) -> Vec<String> {
-        self.jobs.values().filter(|j| !j.is_ended()).map(|j| j.name.clone()).collect()
+        self.jobs.values().filter(|job| !job.is_ended()).map(|job| job.name.clone()).collect()
     }
 
     /// Assigns a task to a machine and adds it to the usage of its job, team, class and zone.
-    pub(crate) fn attach(&mut self, id: TaskId, m: MachineIndex) {
-        let Some(job) = self.jobs.get_mut(&id.0) else { return };
-        let machine = &mut self.machines[m];
+    pub(crate) fn attach(&mut self, id: TaskId, index: MachineIndex) {
+        let Some(job) = self.jobs.get_mut(&id.job) else { return };
+        let machine = &mut self.machines[index];
         if !machine.attach(id, &job.spec) {
             return;
         }
-        job.tasks[id.1 as usize].machine = m;
+        job.tasks[id.index as usize].machine = index;
         job.placed += 1;
         *job.zones.entry(machine.zone.clone()).or_default() += 1;
         let team = self.team_usage.entry(job.spec.team.clone()).or_default();
@@ -253,33 +211,28 @@
 
     /// Reverses [`Cluster::attach`]. Called only when the task is proven absent from its machine.
     pub(crate) fn detach(&mut self, now: Timestamp, id: TaskId) {
-        let Some(job) = self.jobs.get_mut(&id.0) else { return };
-        let machine = &mut self.machines[job.tasks[id.1 as usize].machine];
+        let Some(job) = self.jobs.get_mut(&id.job) else { return };
+        let machine = &mut self.machines[job.tasks[id.index as usize].machine];
         if !machine.detach(now, id, &job.spec) {
             return;
         }
         job.placed -= 1;
-        if let Some(n) = job.zones.get_mut(&machine.zone) {
-            *n -= 1;
-            if *n == 0 {
-                job.zones.remove(&machine.zone);
-            }
-        }
+        job.leave_zone(&machine.zone);
         if let Some(team) = self.team_usage.get_mut(&job.spec.team) {
             team.cpus = (team.cpus - job.spec.cpus).max(0.0);
             team.gpus = (team.gpus - job.spec.gpus).max(0.0);
         }
         self.shares.task_gone(job.share_class, job.spec.task());
-        job.started.remove(&id.1);
-        job.scan_from = job.scan_from.min(id.1);
+        job.started.remove(&id.index);
+        job.scan_from = job.scan_from.min(id.index);
         self.placement_needed = true;
     }
 
     /// Applies an event to a task and updates all aggregates that depend on the task's state.
     /// Returns whether the event changed anything. This is the only way to change a task's state.
     pub(crate) fn apply(&mut self, now: Timestamp, id: TaskId, event: TaskEvent) -> bool {
-        let Some(job) = self.jobs.get_mut(&id.0) else { return false };
-        let Some(task) = job.tasks.get_mut(id.1 as usize) else { return false };
+        let Some(job) = self.jobs.get_mut(&id.job) else { return false };
+        let Some(task) = job.tasks.get_mut(id.index as usize) else { return false };
         let before = task.phase;
         if !task.step(now, event) {
             return false;
@@ -291,12 +244,12 @@
             | TaskEvent::ProvenAbsent
             | TaskEvent::NotSent(_)
             | TaskEvent::ConfirmationExpired => {
-                let chunk = job.chunk_of(id.1);
+                let chunk = job.chunk_of(id.index);
                 job.chunks[chunk].unpersisted_since.get_or_insert(now);
-                job.changed.insert(id.1);
+                job.changed.insert(id.index);
             }
             TaskEvent::Dispatch { .. } | TaskEvent::NotRecorded(_) => {
-                job.changed.insert(id.1);
+                job.changed.insert(id.index);
             }
             TaskEvent::Recorded(_)
             | TaskEvent::Sent { .. }
@@ -348,28 +301,22 @@
     }
 
     /// Returns the numbers of completed and of running tasks, for the job's status.
-    pub fn counts(&self, ix: JobIndex) -> Option<(u32, u32)> {
-        let job = self.job(ix)?;
+    pub fn counts(&self, index: JobIndex) -> Option<(u32, u32)> {
+        let job = self.job(index)?;
         Some((job.done, job.started.len() as u32))
     }
 
     /// Returns whether this attempt of the task is recorded as being on the machine.
-    pub(crate) fn is_placed(&self, m: MachineIndex, id: TaskId, attempt: Attempt) -> bool {
-        self.job(id.0).is_some_and(|job| {
-            let task = &job.tasks[id.1 as usize];
-            task.attempt == attempt && task.machine == m && task.phase != TaskPhase::Pending
+    pub(crate) fn is_placed(&self, machine: MachineIndex, id: TaskId, attempt: Attempt) -> bool {
+        self.task(id).is_some_and(|task| {
+            task.attempt == attempt && task.machine == machine && task.phase != TaskPhase::Pending
         })
     }
 
     pub(crate) fn rezone(&mut self, tasks: &[TaskId], old: &str, new: &str) {
         for id in tasks {
-            if let Some(job) = self.jobs.get_mut(&id.0) {
-                if let Some(n) = job.zones.get_mut(old) {
-                    *n -= 1;
-                    if *n == 0 {
-                        job.zones.remove(old);
-                    }
-                }
+            if let Some(job) = self.jobs.get_mut(&id.job) {
+                job.leave_zone(old);
                 *job.zones.entry(new.to_owned()).or_default() += 1;
             }
         }
--- a/crates/scheduler/src/model/conflicting_replicas.rs
+++ b/crates/scheduler/src/model/conflicting_replicas.rs
@@ -2,8 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use crate::model::ids::MachineIndex;
-use crate::model::job::TaskId;
+use crate::model::ids::{MachineIndex, TaskId};
 
 /// Tasks that a machine reports as live under a placement other than the one in the task table.
 /// They still occupy that machine. Several machines may report the same task, and each report
--- a/crates/scheduler/src/model/ids.rs
+++ b/crates/scheduler/src/model/ids.rs
@@ -72,6 +72,15 @@
     }
 }
 
+/// Identifies a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskId {
+    /// Job that the task belongs to.
+    pub job: JobIndex,
+    /// Position of the task in the job's array.
+    pub index: u32,
+}
+
 /// Index of a machine in the scheduler's machine table, a `Vec<Machine>` that it indexes directly.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct MachineIndex(pub u32);
--- a/crates/scheduler/src/model/job.rs
+++ b/crates/scheduler/src/model/job.rs
@@ -7,7 +7,7 @@
 use roaring::RoaringBitmap;
 use walnutlug_admission::shares::ClassId;
 
-use crate::model::ids::{JobIndex, MachineIndex};
+use crate::model::ids::MachineIndex;
 use crate::model::job_spec::{JobSpec, Priority};
 use crate::model::job_state::{JobEvent, JobState};
 use crate::model::task::Task;
@@ -15,9 +15,6 @@
 use crate::storage::revision::Revision;
 use crate::time::{TimeDelta, Timestamp};
 
-/// Identifies a task by its job and its index in the job's array.
-pub type TaskId = (JobIndex, u32);
-
 /// State of the stored record that holds a contiguous range of a job's tasks.
 #[derive(Debug, Clone, Default)]
 pub struct Chunk {
@@ -64,7 +61,7 @@
     /// Tasks by index in the array.
     pub tasks: Vec<Task>,
     /// Tasks whose completion is written. Only then may the worker be told to forget them.
-    pub recorded: RoaringBitmap,
+    pub stored_completions: RoaringBitmap,
     state: JobState,
     /// Number of completed tasks.
     pub done: u32,
@@ -116,7 +113,7 @@
             parts: BTreeMap::new(),
             changed: RoaringBitmap::new(),
             tasks: vec![Task::new(now); spec.tasks as usize],
-            recorded: RoaringBitmap::new(),
+            stored_completions: RoaringBitmap::new(),
             state: JobState::Open,
             done: 0,
             placed: 0,
@@ -133,6 +130,11 @@
         }
     }
 
+    /// Returns the name under which workers and users know a task of the job.
+    pub(crate) fn task_name(&self, index: u32) -> String {
+        format!("{}/{index}", self.name)
+    }
+
     /// Returns the class under which the job's share of the fleet is accounted.
     pub fn share_class(&self) -> ClassId {
         self.share_class
@@ -150,6 +152,15 @@
         next.is_some()
     }
 
+    /// Counts one placed task less in the zone.
+    pub(crate) fn leave_zone(&mut self, zone: &str) {
+        let Some(tasks) = self.zones.get_mut(zone) else { return };
+        *tasks -= 1;
+        if *tasks == 0 {
+            self.zones.remove(zone);
+        }
+    }
+
     /// Returns whether the job's end is stored. Nothing of an ended job is started any more, and
     /// its remaining tasks are stopped.
     pub fn is_ended(&self) -> bool {
@@ -181,8 +192,8 @@
     /// Without this rule, one job's tasks failed 412 times on one of 42 faulty machines, which was
     /// always the first to have free room. Three such machines made the job look at fault, so that
     /// no machine was blamed.
-    pub(crate) fn avoids(&self, now: Timestamp, m: MachineIndex) -> bool {
-        self.error_machines.get(&m).is_some_and(|&at| now.since(at) < AVOIDANCE_PERIOD)
+    pub(crate) fn avoids(&self, now: Timestamp, machine: MachineIndex) -> bool {
+        self.error_machines.get(&machine).is_some_and(|&at| now.since(at) < AVOIDANCE_PERIOD)
     }
 
     /// Returns the indices of the tasks in a chunk.
--- a/crates/scheduler/src/model/machine.rs
+++ b/crates/scheduler/src/model/machine.rs
@@ -9,8 +9,7 @@
 
 use crate::dispatch::channel::WorkerChannel;
 use crate::leadership::fencing_token::{FencingToken, Term};
-use crate::model::ids::AgentEpoch;
-use crate::model::job::TaskId;
+use crate::model::ids::{AgentEpoch, TaskId};
 use crate::model::job_spec::{JobSpec, Priority};
 pub(crate) use crate::model::machine::failures::MachineFailures;
 pub use crate::model::machine::fence::Fence;
--- a/crates/scheduler/src/model/start.rs
+++ b/crates/scheduler/src/model/start.rs
@@ -5,8 +5,7 @@
 //! [`Task::step`](crate::model::task::Task::step) applies its outcome only to a task for which that
 //! decision still stands.
 
-use crate::model::ids::{AgentEpoch, Attempt, MachineIndex};
-use crate::model::job::TaskId;
+use crate::model::ids::{AgentEpoch, Attempt, MachineIndex, TaskId};
 
 /// The attempt of a task, and the worker to which its start is addressed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -5,8 +5,8 @@
 
 use crate::event::Event;
 use crate::model::cluster::TeamUsage;
-use crate::model::ids::{JobIndex, MachineIndex};
-use crate::model::job::{Job, TaskId};
+use crate::model::ids::{JobIndex, MachineIndex, TaskId};
+use crate::model::job::Job;
 use crate::model::job_spec::{JobSpec, Priority};
 use crate::model::machine::{Machine, MachineState};
 use crate::model::task::TaskPhase;
@@ -427,7 +427,7 @@
                 machines.next();
                 continue;
             }
-            self.plan_start(now, (ix, index), m);
+            self.plan_start(now, TaskId { job: ix, index }, m);
             placed += 1;
             index += 1;
         }
@@ -537,11 +537,11 @@
                 candidates: Vec::new(),
             };
             for &id in &m.tasks {
-                let Some(other) = self.cluster.job(id.0) else { continue };
-                match other.tasks[id.1 as usize].phase {
+                let Some(other) = self.cluster.job(id.job) else { continue };
+                match other.tasks[id.index as usize].phase {
                     TaskPhase::Stopping => entry.free.release(&other.spec),
                     TaskPhase::Running if other.priority < highest_priority || within_guarantee => {
-                        let Some(&began) = other.started.get(&id.1) else { continue };
+                        let Some(&began) = other.started.get(&id.index) else { continue };
                         let ran = now.since(began).as_secs_f64();
                         let saves = other.spec.checkpoint_s > 0.0;
                         let mut cost = if saves { other.spec.save_s.min(ran) } else { ran };
@@ -573,7 +573,7 @@
         let mut free = machine.free;
         let (mut cost, mut min_cost, mut candidates) = (0.0, 0.0f64, Vec::new());
         for (i, candidate) in machine.candidates.iter().enumerate() {
-            let Some(other) = self.cluster.job(candidate.id.0) else { continue };
+            let Some(other) = self.cluster.job(candidate.id.job) else { continue };
             if candidate.stopped || !self.may_be_preempted(queue_key, job, other, aged_before) {
                 continue;
             }
@@ -600,13 +600,13 @@
     ) {
         let id = machine.candidates[candidate].id;
         machine.candidates[candidate].stopped = true;
-        let Some(other) = self.cluster.job(id.0) else { return };
+        let Some(other) = self.cluster.job(id.job) else { return };
         if !queue_key.within_guarantee && self.is_at_floor(other) {
             return; // Earlier preemptions of this pass brought the class down to its floor.
         }
         machine.free.release(&other.spec);
         let grace = other.spec.stop_grace_s();
-        let task = format!("{}/{}", other.name, id.1);
+        let task = other.task_name(id.index);
         self.log(Event::TaskPreempted { task });
         self.stop(now, id, grace);
     }
--- a/crates/scheduler/src/reconciliation/absence.rs
+++ b/crates/scheduler/src/reconciliation/absence.rs
@@ -5,8 +5,7 @@
 
 use crate::leadership::fencing_token::FencingToken;
 use crate::model::cluster::Cluster;
-use crate::model::ids::MachineIndex;
-use crate::model::job::TaskId;
+use crate::model::ids::{MachineIndex, TaskId};
 use crate::model::task::{Task, TaskEvent};
 use crate::protocol::workers::{ExitReason, Heartbeat, TaskState, TaskStatus};
 use crate::reconciliation::heartbeats::Reconciler;
@@ -92,8 +91,7 @@
     let placed: Vec<TaskId> = reconciler.cluster.machines[machine].tasks.iter().copied().collect();
     let mut any_ended = false;
     for id in placed {
-        let Some(job) = reconciler.cluster.job(id.0) else { continue };
-        let task = job.tasks[id.1 as usize];
+        let Some(&task) = reconciler.cluster.task(id) else { continue };
         match Evidence::of(id, &task, heartbeat, reported) {
             Evidence::Present(entry) => {
                 if let Some(entry) = entry {
@@ -131,11 +129,11 @@
 /// Records the start time of a running attempt. Its image must be on the machine too, since the
 /// attempt runs.
 fn record_running(cluster: &mut Cluster, now: Timestamp, machine: MachineIndex, id: TaskId) {
-    let Some(job) = cluster.job(id.0) else { return };
+    let Some(job) = cluster.job(id.job) else { return };
     let image = job.spec.image.clone();
-    let began = cluster.run_started_at(now, &job.tasks[id.1 as usize]);
-    if let Some(job) = cluster.jobs.get_mut(&id.0) {
-        let since = *job.started.entry(id.1).or_insert(began);
+    let began = cluster.run_started_at(now, &job.tasks[id.index as usize]);
+    if let Some(job) = cluster.jobs.get_mut(&id.job) {
+        let since = *job.started.entry(id.index).or_insert(began);
         job.has_started |= now.since(since) >= STARTED_AFTER;
     }
     cluster.machines[machine].add_image(image);
@@ -152,8 +150,7 @@
     let machine = &cluster.machines[index];
     let current_token = machine.token(cluster.term);
     let is_missing = |id: &TaskId| {
-        cluster.job(id.0).is_some_and(|job| {
-            let task = &job.tasks[id.1 as usize];
+        cluster.task(*id).is_some_and(|task| {
             task.token != FencingToken::NONE
                 && task.token == current_token
                 && reported.newest(*id).is_none()
--- a/crates/scheduler/src/reconciliation/expiry.rs
+++ b/crates/scheduler/src/reconciliation/expiry.rs
@@ -2,7 +2,7 @@
 
 use crate::event::Event;
 use crate::model::cluster::Cluster;
-use crate::model::job::TaskId;
+use crate::model::ids::TaskId;
 use crate::model::task::{TaskEvent, TaskPhase};
 use crate::time::{TimeDelta, Timestamp};
 use crate::tunables::{Site, Tunables};
@@ -19,8 +19,7 @@
     let mut events = Vec::new();
     for id in unconfirmed_starts(cluster, now, site.heartbeat_interval, confirmation_timeout) {
         if cluster.apply(now, id, TaskEvent::ConfirmationExpired) {
-            let Some(job) = cluster.job(id.0) else { continue };
-            events.push(Event::StartUnconfirmed { task: format!("{}/{}", job.name, id.1) });
+            events.extend(cluster.task_name(id).map(|task| Event::StartUnconfirmed { task }));
         }
     }
     events
@@ -38,8 +37,7 @@
     let silent = cluster.machines.iter().filter(|machine| is_due(machine.last_heartbeat));
     let placed = silent.flat_map(|machine| machine.tasks.iter().copied());
     let unconfirmed = placed.filter(|id| {
-        cluster.job(id.0).is_some_and(|job| {
-            let task = &job.tasks[id.1 as usize];
+        cluster.task(*id).is_some_and(|task| {
             task.phase == TaskPhase::Dispatching && now.since(task.since) >= timeout
         })
     });
--- a/crates/scheduler/src/reconciliation/health.rs
+++ b/crates/scheduler/src/reconciliation/health.rs
@@ -4,8 +4,8 @@
 
 use crate::event::Event;
 use crate::model::cluster::Cluster;
-use crate::model::ids::MachineIndex;
-use crate::model::job::{Job, TaskId};
+use crate::model::ids::{MachineIndex, TaskId};
+use crate::model::job::Job;
 use crate::model::machine::{DrainReason, Machine, MachineState};
 use crate::model::run_times::RunTimes;
 use crate::model::task::TaskPhase;
@@ -89,7 +89,7 @@
             return false;
         }
         let is_slow_here = |id: &&TaskId| {
-            cluster.job(id.0).is_some_and(|job| is_slow_task(job, id.1, now, slow_factor))
+            cluster.job(id.job).is_some_and(|job| is_slow_task(job, id.index, now, slow_factor))
         };
         let slow_count = machine.tasks.iter().filter(is_slow_here).count();
         slow_count >= 1 && slow_count * 2 >= machine.tasks.len()
@@ -133,9 +133,9 @@
         let Some(interruption_at) = machine.interruption_at else { continue };
         let remaining_s = interruption_at.since(now).as_secs_f64() * USABLE_NOTICE_FRACTION;
         for &id in &machine.tasks {
-            let Some(job) = cluster.job(id.0) else { continue };
-            let task = &job.tasks[id.1 as usize];
-            let ran_s = job.started.get(&id.1).map_or(0.0, |&at| now.since(at).as_secs_f64());
+            let Some(job) = cluster.job(id.job) else { continue };
+            let task = &job.tasks[id.index as usize];
+            let ran_s = job.started.get(&id.index).map_or(0.0, |&at| now.since(at).as_secs_f64());
             let is_sent = !task.phase.is_unsent() && task.phase != TaskPhase::Stopping;
             let may_complete = ran_s + remaining_s >= run_times.expected_run(job);
             if !is_sent || may_complete || free_cpus < job.spec.cpus {
--- a/crates/scheduler/src/reconciliation/machine_loss.rs
+++ b/crates/scheduler/src/reconciliation/machine_loss.rs
@@ -2,7 +2,7 @@
 
 use crate::dispatch::Messages;
 use crate::model::cluster::Cluster;
-use crate::model::job::TaskId;
+use crate::model::ids::TaskId;
 use crate::model::machine::MachineState;
 use crate::model::task::TaskEvent;
 use crate::time::Timestamp;
@@ -34,8 +34,7 @@
 /// Marks the tasks as proven absent, because their machine is known to have stopped.
 pub(crate) fn tasks_lost(cluster: &mut Cluster, now: Timestamp, tasks: &[TaskId]) {
     for &id in tasks {
-        let is_unsent =
-            cluster.job(id.0).is_some_and(|job| job.tasks[id.1 as usize].phase.is_unsent());
+        let is_unsent = cluster.task(id).is_some_and(|task| task.phase.is_unsent());
         // An unsent start is resolved by the outcome of its own transaction.
         if !is_unsent {
             cluster.apply(now, id, TaskEvent::ProvenAbsent);
--- a/crates/scheduler/src/reconciliation/machine_status.rs
+++ b/crates/scheduler/src/reconciliation/machine_status.rs
@@ -4,8 +4,7 @@
 use crate::event::Event;
 use crate::leadership::fencing_token::FencingToken;
 use crate::model::cluster::Cluster;
-use crate::model::ids::{AgentEpoch, MachineIndex};
-use crate::model::job::TaskId;
+use crate::model::ids::{AgentEpoch, MachineIndex, TaskId};
 use crate::model::machine::{Machine, MachineState};
 use crate::protocol::workers::Heartbeat;
 use crate::reconciliation::heartbeats::HeartbeatSource;
--- a/crates/scheduler/src/reconciliation/repeated_heartbeats.rs
+++ b/crates/scheduler/src/reconciliation/repeated_heartbeats.rs
@@ -20,8 +20,7 @@
 
 use crate::leadership::fencing_token::Term;
 use crate::model::cluster::Cluster;
-use crate::model::ids::MachineIndex;
-use crate::model::job::TaskId;
+use crate::model::ids::{MachineIndex, TaskId};
 use crate::model::machine::{Machine, MachineState};
 use crate::model::task::TaskPhase;
 use crate::protocol::workers::{parse_task_id, Heartbeat, TaskState, TaskStatus};
@@ -132,5 +131,5 @@
         TaskState::Running => *job.started.get(&index)? + STARTED_AFTER,
         TaskState::Flushing | TaskState::Exited | TaskState::Other => return None,
     };
-    Some(((job_index, index), expires_at))
+    Some((TaskId { job: job_index, index }, expires_at))
 }
--- a/crates/scheduler/src/reconciliation/reported_tasks.rs
+++ b/crates/scheduler/src/reconciliation/reported_tasks.rs
@@ -1,7 +1,7 @@
 //! The task list of a heartbeat, with each entry resolved to the task it names.
 
 use crate::model::cluster::Cluster;
-use crate::model::job::TaskId;
+use crate::model::ids::TaskId;
 use crate::protocol::workers::{parse_task_id, Heartbeat, TaskState, TaskStatus};
 
 /// One entry of a heartbeat's task list.
@@ -68,5 +68,5 @@
     let (job_name, index) = parse_task_id(name)?;
     let &job_index = cluster.jobs_by_name.get(job_name)?;
     let exists = (index as usize) < cluster.job(job_index)?.tasks.len();
-    exists.then_some((job_index, index))
+    exists.then_some(TaskId { job: job_index, index })
 }
--- a/crates/scheduler/src/reconciliation/response.rs
+++ b/crates/scheduler/src/reconciliation/response.rs
@@ -83,7 +83,7 @@
     entry: &ReportedTask,
 ) -> Option<(&'a Job, u32)> {
     let id = entry.id.filter(|&id| cluster.is_placed(machine, id, entry.status.attempt))?;
-    Some((cluster.job(id.0)?, id.1))
+    Some((cluster.job(id.job)?, id.index))
 }
 
 /// Returns a kill command if the attempt is not placed on the machine, or if its task or job is
@@ -113,8 +113,8 @@
     entry: &ReportedTask,
 ) -> Option<WorkerCommand> {
     let keep = placed_task(cluster, machine, entry).is_some_and(|(job, index)| {
-        let completion_stored =
-            job.tasks[index as usize].phase == TaskPhase::Done && job.recorded.contains(index);
+        let completion_stored = job.tasks[index as usize].phase == TaskPhase::Done
+            && job.stored_completions.contains(index);
         !job.is_ended() && !completion_stored
     });
     let (task, attempt) = (entry.status.task.clone(), entry.status.attempt);
--- a/crates/scheduler/src/reconciliation/task_ends.rs
+++ b/crates/scheduler/src/reconciliation/task_ends.rs
@@ -2,8 +2,7 @@
 //! machine or to the job.
 
 use crate::event::Event;
-use crate::model::ids::{Attempt, JobIndex, MachineIndex};
-use crate::model::job::TaskId;
+use crate::model::ids::{Attempt, JobIndex, MachineIndex, TaskId};
 use crate::model::machine::DrainReason;
 use crate::model::task::{TaskEvent, TaskPhase};
 use crate::protocol::workers::ExitReason;
@@ -20,8 +19,7 @@
 impl Reconciler<'_> {
     /// Records that the attempt completed on the machine.
     pub(crate) fn task_completed(&mut self, id: TaskId, machine: MachineIndex, attempt: Attempt) {
-        let Some(job) = self.cluster.job(id.0) else { return };
-        let Some(task) = job.tasks.get(id.1 as usize) else { return };
+        let Some(task) = self.cluster.task(id) else { return };
         if task.phase == TaskPhase::Done || attempt > task.attempt {
             return;
         }
@@ -35,10 +33,10 @@
         if is_current {
             self.record_run_time(id);
         }
-        if let Some(job) = self.cluster.jobs.get_mut(&id.0) {
+        if let Some(job) = self.cluster.jobs.get_mut(&id.job) {
             job.has_started = true;
         }
-        self.clear_failures(id.0, machine);
+        self.clear_failures(id.job, machine);
         self.cluster.apply(self.now, id, TaskEvent::Completed);
     }
 
@@ -53,7 +51,7 @@
                 self.task_failed(id, machine)
             }
             ExitReason::NoRoom | ExitReason::InUse => {
-                if let Some(job) = self.cluster.jobs.get_mut(&id.0) {
+                if let Some(job) = self.cluster.jobs.get_mut(&id.job) {
                     job.not_before = self.now + REFUSED_START_PAUSE;
                 }
             }
@@ -62,8 +60,8 @@
     }
 
     fn record_run_time(&mut self, id: TaskId) {
-        let Some(job) = self.cluster.jobs.get_mut(&id.0) else { return };
-        let Some(&started_at) = job.started.get(&id.1) else { return };
+        let Some(job) = self.cluster.jobs.get_mut(&id.job) else { return };
+        let Some(&started_at) = job.started.get(&id.index) else { return };
         let ran_s = self.now.since(started_at).as_secs_f64();
         self.run_times.learn_ratio(job.spec.class.clone(), ran_s, job.spec.estimate_s);
         job.run_times.0 += ran_s;
@@ -88,7 +86,7 @@
 
     /// Records that the attempt ended with an error.
     fn task_failed(&mut self, id: TaskId, machine: MachineIndex) {
-        let Some(job) = self.cluster.jobs.get_mut(&id.0) else { return };
+        let Some(job) = self.cluster.jobs.get_mut(&id.job) else { return };
         job.error_machines.insert(machine, self.now);
         // A job that fails on one machine after another and completes nowhere is itself the cause.
         // It is retried at growing intervals, and its failures are not attributed to any machine.
@@ -98,16 +96,16 @@
             let backoff_s = 1u64 << job.errors.min(MAX_FAILURE_BACKOFF_EXPONENT);
             job.not_before = self.now + TimeDelta::from_secs(backoff_s);
         }
-        let task = format!("{}/{}", job.name, id.1);
+        let task = job.task_name(id.index);
         if job_is_suspect {
             for &other in job.error_machines.keys() {
-                self.cluster.machines[other].failures.remove_job(id.0);
+                self.cluster.machines[other].failures.remove_job(id.job);
             }
         }
         let machine_name = self.cluster.machines[machine].name.clone();
         self.events.push(Event::TaskFailed { task, machine: machine_name });
         if !job_is_suspect {
-            self.attribute_to_machine(machine, id.0);
+            self.attribute_to_machine(machine, id.job);
         }
     }
 
--- a/crates/scheduler/src/storage/batch.rs
+++ b/crates/scheduler/src/storage/batch.rs
@@ -4,8 +4,8 @@
 use crate::event::{Event, JobDone};
 use crate::leadership::fencing_token::Term;
 use crate::model::cluster::Cluster;
-use crate::model::ids::JobIndex;
-use crate::model::job::{Job, TaskId};
+use crate::model::ids::{JobIndex, TaskId};
+use crate::model::job::Job;
 use crate::model::job_spec::JobEnd;
 use crate::model::job_state::JobEvent;
 use crate::model::start::TaskStart;
@@ -205,9 +205,9 @@
                 None => job.chunks[chunk].revision = revision,
             }
         }
-        for (job, index) in self.completions {
+        for TaskId { job, index } in self.completions {
             if let Some(job) = cluster.jobs.get_mut(&job) {
-                job.recorded.insert(index);
+                job.stored_completions.insert(index);
             }
         }
         let ends = self.ends.iter().filter_map(|ending| stored_end(cluster, now, ending)).collect();
@@ -228,7 +228,7 @@
                 job.chunks[chunk].unpersisted_since.get_or_insert(now);
             }
         }
-        for (job, index) in self.changed {
+        for TaskId { job, index } in self.changed {
             if let Some(job) = cluster.jobs.get_mut(&job) {
                 job.changed.insert(index);
             }
--- a/crates/scheduler/src/storage/chunk_writes.rs
+++ b/crates/scheduler/src/storage/chunk_writes.rs
@@ -11,6 +11,7 @@
 use std::ops::Range;
 
 use crate::model::cluster::Cluster;
+use crate::model::ids::TaskId;
 use crate::model::job::{Chunk, Job};
 use crate::model::start::TaskStart;
 use crate::model::task::TaskPhase;
@@ -117,9 +118,9 @@
 }
 
 fn note_task(batch: &mut Batch, job: &mut Job, chunk: ChunkId, index: u32) {
-    let id = (chunk.job, index);
+    let id = TaskId { job: chunk.job, index };
     let task = &job.tasks[index as usize];
-    if task.phase == TaskPhase::Done && !job.recorded.contains(index) {
+    if task.phase == TaskPhase::Done && !job.stored_completions.contains(index) {
         batch.note_completion(id);
     }
     if task.phase == TaskPhase::Planned {
--- a/crates/scheduler/src/storage/loader.rs
+++ b/crates/scheduler/src/storage/loader.rs
@@ -9,8 +9,8 @@
 use crate::event::Anomaly;
 use crate::leadership::fencing_token::FencingToken;
 use crate::model::cluster::Cluster;
-use crate::model::ids::{JobIndex, MachineIndex};
-use crate::model::job::{Job, TaskId};
+use crate::model::ids::{JobIndex, MachineIndex, TaskId};
+use crate::model::job::Job;
 use crate::model::task::TaskPhase;
 use crate::protocol::key_value::KeyValue;
 use crate::protocol::users::MAX_TASKS;
@@ -105,7 +105,7 @@
     }
     let mut by_job: BTreeMap<JobIndex, Vec<(u32, StoredTask<'_>)>> = BTreeMap::new();
     for (id, record) in newest {
-        by_job.entry(id.0).or_default().push((id.1, record));
+        by_job.entry(id.job).or_default().push((id.index, record));
     }
     for (job, records) in by_job {
         load_tasks(cluster, now, job, &records);
@@ -137,7 +137,12 @@
         }
     };
     let end = base.saturating_add(job.chunk_size).min(job.spec.tasks);
-    Some((first..end).zip(records).map(|(task, record)| ((job_index, task), record)).collect())
+    Some(
+        (first..end)
+            .zip(records)
+            .map(|(index, record)| (TaskId { job: job_index, index }, record))
+            .collect(),
+    )
 }
 
 /// A task that is on a machine according to its record.
@@ -163,7 +168,7 @@
         }
         let placement = load_task(job, now, *index, state, loaded_token);
         placements.extend(placement.map(|machine| LoadedPlacement {
-            id: (job_index, *index),
+            id: TaskId { job: job_index, index: *index },
             machine: machine.to_owned(),
         }));
     }
@@ -189,7 +194,7 @@
         StoredProgress::Pending => None,
         StoredProgress::Done => {
             task.phase = TaskPhase::Done;
-            job.recorded.insert(index);
+            job.stored_completions.insert(index);
             job.done += 1;
             job.has_started = true;
             None
