The failure scenarios compare every start sent with the store too

Cause: only the scripted world and the random interleavings did.

Change: the simulated leaders' commands go through the same check.

--- a/crates/scheduler/tests/sim/mod.rs
+++ b/crates/scheduler/tests/sim/mod.rs
@@ -27,6 +27,7 @@
 use walnutlug_scheduler::time::{TimeDelta, Timestamp};
 use walnutlug_scheduler::tunables::{Site, Tunables};
 
+use crate::world::recorded_starts::assert_starts_are_recorded;
 use crate::world::{self, transcript, Store, Worker};
 
 mod follower;
@@ -853,6 +854,7 @@
         }
         let term = l.scheduler.term;
         let commands = l.scheduler.take_commands();
+        assert_starts_are_recorded(&self.store, &l.scheduler, &commands);
         transcript::commands(term, &commands);
         for command in commands {
             self.execute_command(i, term, store_reachable, command);
