Log events don't look into the cluster

Cause: the event of a superseded start compared itself with the cluster's state, unlike all other events.

Change: dispatch::starts makes the comparison.

Result: no behaviour changed; the tests of the scheduler pass.

--- a/crates/scheduler/src/dispatch/starts.rs
+++ b/crates/scheduler/src/dispatch/starts.rs
@@ -1,6 +1,7 @@
 //! Decides when a stored start is included in a request to its machine, and which starts are never
 //! sent.
 
+use crate::event::{StartOutcome, SupersededStart};
 use crate::leadership::authority::LeaderAuthority;
 use crate::model::cluster::Cluster;
 use crate::model::ids::MachineIndex;
@@ -116,3 +117,24 @@
         cluster.apply(now, task, TaskEvent::NotSent(placement));
     }
 }
+
+/// Compares a settled start with the current state of its task, for the log. Returns `None` if the
+/// job is no longer known.
+pub(crate) fn describe_superseded(
+    cluster: &Cluster,
+    start: TaskStart,
+    outcome: StartOutcome,
+) -> Option<SupersededStart> {
+    let TaskStart { task: id, placement } = start;
+    let task = cluster.task(id)?;
+    let machine_name = |machine: MachineIndex| cluster.machines[machine].name.clone();
+    Some(SupersededStart {
+        task: cluster.task_name(id)?,
+        outcome,
+        attempt: placement.attempt,
+        machine: machine_name(placement.machine),
+        current_phase: task.phase,
+        current_attempt: task.attempt,
+        current_machine: task.phase.placed().then(|| machine_name(task.machine)),
+    })
+}
--- a/crates/scheduler/src/event.rs
+++ b/crates/scheduler/src/event.rs
@@ -1,11 +1,9 @@
 //! Typed log events of the scheduler. The program writes each as a constant message with structured
 //! fields.
 
-use crate::model::cluster::Cluster;
-use crate::model::ids::{Attempt, MachineIndex};
+use crate::model::ids::Attempt;
 use crate::model::job_spec::Priority;
 use crate::model::machine::DrainReason;
-use crate::model::start::TaskStart;
 use crate::model::task::TaskPhase;
 use crate::time::TimeDelta;
 
@@ -152,29 +150,6 @@
     pub current_machine: Option<String>,
 }
 
-impl SupersededStart {
-    /// Compares a settled start with the current state of its task. Returns `None` if the job is no
-    /// longer known.
-    pub(crate) fn new(
-        cluster: &Cluster,
-        start: TaskStart,
-        outcome: StartOutcome,
-    ) -> Option<SupersededStart> {
-        let TaskStart { task: id, placement } = start;
-        let task = cluster.task(id)?;
-        let machine_name = |machine: MachineIndex| cluster.machines[machine].name.clone();
-        Some(SupersededStart {
-            task: cluster.task_name(id)?,
-            outcome,
-            attempt: placement.attempt,
-            machine: machine_name(placement.machine),
-            current_phase: task.phase,
-            current_attempt: task.attempt,
-            current_machine: task.phase.placed().then(|| machine_name(task.machine)),
-        })
-    }
-}
-
 /// A machine that is returned to the cloud.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct MachineScaledIn {
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -15,9 +15,9 @@
 
 use crate::autoscaling::Autoscaler;
 use crate::command::{Command, CommandQueue, ReadOutcome, TransactionOutcome};
-use crate::dispatch::starts::StartGate;
+use crate::dispatch::starts::{self, StartGate};
 use crate::dispatch::Messages;
-use crate::event::{Anomaly, Event, StartOutcome, SupersededStart};
+use crate::event::{Anomaly, Event, StartOutcome};
 use crate::leadership::authority::LeaderAuthority;
 use crate::leadership::fencing_token::{FencingToken, Term};
 use crate::model::cluster::Cluster;
@@ -270,7 +270,7 @@
     /// Logs that the outcome of a transaction was ignored for a start, because its task has another
     /// placement by now or was found running or completed.
     fn log_superseded(&mut self, start: TaskStart, outcome: StartOutcome) {
-        let superseded = SupersededStart::new(&self.cluster, start, outcome);
+        let superseded = starts::describe_superseded(&self.cluster, start, outcome);
         self.commands.extend(superseded.map(|event| Command::Log(Event::StartSuperseded(event))));
     }
 
