A planned start of a cancelled job frees its room though it was never written

Callers saw, or could: after a cancellation, room on a machine and in the team's limit that stayed taken, and records of the job that stayed, until the leader's term ended.

Cause: a start that is not sent is left to the outcome of its transaction when its job ends. A planned start that waits to be written has none, and the chunks of ended jobs aren't written.

Change: each round of writes retracts the planned starts of ended jobs whose chunk has no write open.

Tests: a_cancellation_before_the_planned_start_is_written_frees_its_room and a_cancellation_while_an_earlier_write_of_the_chunk_is_open_frees_the_planned_room failed on the sources before: the job's records were not deleted.

--- a/crates/scheduler/src/model/cluster.rs
+++ b/crates/scheduler/src/model/cluster.rs
@@ -183,6 +183,25 @@
         Some(planned)
     }
 
+    /// Makes the planned starts of an ended job pending again that no transaction holds: none will
+    /// be written any more. Those in a transaction are settled by its outcome.
+    pub(crate) fn retract_unwritten_starts(&mut self, now: Timestamp, index: JobIndex) {
+        let Some(job) = self.jobs.get_mut(&index).filter(|job| job.placed > 0) else { return };
+        let mut unwritten = Vec::new();
+        for number in 0..job.chunks.len() {
+            let chunk = &mut job.chunks[number];
+            if !chunk.in_flight && chunk.start_due.take().is_some() {
+                unwritten.extend(job.chunk_tasks(number));
+            }
+        }
+        for task in unwritten {
+            let id = TaskId { job: index, index: task };
+            if let Some(placement) = self.task(id).map(Task::placement) {
+                self.apply(now, id, TaskEvent::NotRecorded(placement));
+            }
+        }
+    }
+
     /// Returns the indices of all machines in table order.
     pub(crate) fn machine_indices(&self) -> impl Iterator<Item = MachineIndex> {
         (0..self.machines.len()).map(MachineIndex::from)
--- a/crates/scheduler/src/storage/write_round.rs
+++ b/crates/scheduler/src/storage/write_round.rs
@@ -104,6 +104,9 @@
     pub(crate) fn run(mut self) -> Vec<Command> {
         let mut commits = Vec::new();
         let mut pending = PendingWrites::collect(self.cluster, self.tunables, self.now);
+        for &job in &pending.ended {
+            self.cluster.retract_unwritten_starts(self.now, job);
+        }
         // The user was already told that these jobs are cancelled along with the job that they
         // depend on, so their ends are written first.
         let cancelled: Vec<JobIndex> = self.dependency_graph.dependency_cancelled().collect();
--- a/crates/scheduler/tests/task_starts.rs
+++ b/crates/scheduler/tests/task_starts.rs
@@ -13,6 +13,7 @@
 use walnutlug_scheduler::reconciliation::heartbeats::{HeartbeatAnswer, HeartbeatRefusal};
 use walnutlug_scheduler::storage::keys;
 use walnutlug_scheduler::storage::revision::Revision;
+use walnutlug_scheduler::storage::transactions::WriteAllowance;
 use world::{one_machine, spec, World};
 
 const JOB: &str = "req-000001";
@@ -304,6 +305,63 @@
     assert!(w.places().is_empty());
 }
 
+/// Asserts that the cancelled job holds no room on the machine and that its records are deleted.
+fn assert_cancelled_job_leaves_nothing(w: &mut World) {
+    w.settle();
+    w.send_all_heartbeats();
+    w.settle();
+    assert!(!w.leader.cluster.jobs_by_name.contains_key(JOB), "its records are deleted");
+    assert!(!w.store.keys.contains_key(&keys::todo(JOB)));
+    assert!(w.leader.cluster.machines.iter().all(|machine| machine.used().cpus == 0.0));
+}
+
+/// Guards against room that stays taken for the rest of a term: the write rate allowed no write of
+/// the planned start before the job was cancelled, so no outcome ever settled it.
+#[test]
+fn a_cancellation_before_the_planned_start_is_written_frees_its_room() {
+    let mut w = one_machine();
+    let (first_job, no_writes) = ("req-000000", WriteAllowance { left: 0.0, per_s: 10.0 });
+    w.submit(first_job, &spec(1));
+    w.submit(JOB, &spec(1));
+    w.leader.set_write_allowance(WriteAllowance { left: 1.0, ..no_writes });
+    w.tick();
+    let (_, transaction) = w.take_commit();
+    assert!(transaction.compares.iter().any(|c| c.key == keys::run(first_job, 0)));
+    assert_eq!(w.phase(JOB, 0), TaskPhase::Planned);
+    w.leader.set_write_allowance(no_writes);
+    w.cancel_job(first_job);
+    w.cancel_job(JOB);
+    w.leader.transaction_answered(w.now, 1, TransactionOutcome::Rejected);
+    w.leader.set_write_allowance(WriteAllowance { left: 100.0, per_s: 100.0 });
+    w.wait(400);
+    assert_cancelled_job_leaves_nothing(&mut w);
+}
+
+/// The same for a start that was planned while a write of its chunk was open.
+#[test]
+fn a_cancellation_while_an_earlier_write_of_the_chunk_is_open_frees_the_planned_room() {
+    for is_executed in [true, false] {
+        let mut w = one_machine();
+        w.submit(JOB, &spec(5));
+        w.tick();
+        let (id, transaction) = w.take_commit();
+        w.workers.insert("n-2".to_owned(), world::Worker::new("n-2", "a"));
+        w.heartbeat("n-2");
+        w.heartbeat("n-2");
+        w.wait(300);
+        w.tick();
+        assert_eq!(w.phase(JOB, 4), TaskPhase::Planned);
+        let outcome = match is_executed {
+            true => w.store.apply(&transaction),
+            false => TransactionOutcome::Rejected,
+        };
+        w.cancel_job(JOB);
+        w.leader.transaction_answered(w.now, id, outcome);
+        w.wait(400);
+        assert_cancelled_job_leaves_nothing(&mut w);
+    }
+}
+
 #[test]
 fn a_cancellation_stored_before_the_last_completion_decides_the_jobs_end() {
     let mut w = one_machine();
