Random interleavings: the cloud that ends them answers scale-outs too

The trace: all tasks were held by dead machines, the live ones were returned as idle meanwhile, and the test's cloud answered returns but no requests for machines, so none was left. The fault is the test's.

Change: requested machines come up, and returned ones are gone; what the test asserts is unchanged. Tests that record a start without sending it share a step (World::place_and_record).

--- a/crates/scheduler/tests/random_interleavings.rs
+++ b/crates/scheduler/tests/random_interleavings.rs
@@ -424,6 +424,32 @@
     }
 }
 
+/// Answers the leader's requests to the cloud: returned machines are gone, requested ones come up at
+/// once.
+fn answer_scaling(w: &mut World) {
+    for command in w.leader.take_commands() {
+        match command {
+            Command::ScaleIn { machines } => {
+                for worker in w.workers.values_mut().filter(|k| machines.contains(&k.name)) {
+                    worker.alive = false;
+                    worker.tasks.clear();
+                }
+                w.leader.scale_in_answered(w.now, &machines, true);
+            }
+            Command::ScaleOut { kind, zone, spot, count } => {
+                let first = w.workers.len() + 1;
+                let numbers = first..first + count as usize;
+                let names: Vec<String> = numbers.map(|number| format!("n-{number}")).collect();
+                for name in &names {
+                    w.workers.insert(name.clone(), world::Worker::new(name, &zone));
+                }
+                w.leader.scale_out_answered(w.now, &kind, &zone, spot, count, Ok(names));
+            }
+            _ => {}
+        }
+    }
+}
+
 /// Drops all messages in flight and runs without faults, until every accepted job is done or
 /// cancelled. This fails if a job waits forever for a message that was lost.
 fn finish_without_faults(mut run: RandomRun) {
@@ -437,11 +463,7 @@
         // A machine that died before its loss was recorded sends the new leader no heartbeats, so
         // the leader returns it to the cloud.
         w.leader.autoscale(w.now);
-        for command in w.leader.take_commands() {
-            if let Command::ScaleIn { machines } = command {
-                w.leader.scale_in_answered(w.now, &machines, true);
-            }
-        }
+        answer_scaling(w);
         w.settle();
         for (task, machines) in w.places() {
             assert!(machines.len() <= 1, "{task} is on {machines:?}");
--- a/crates/scheduler/tests/task_starts.rs
+++ b/crates/scheduler/tests/task_starts.rs
@@ -106,10 +106,7 @@
 fn a_start_not_sent_yet_is_not_proven_absent_by_a_heartbeat() {
     let mut w = one_machine();
     w.submit(JOB, &spec(1));
-    w.tick();
-    let (id, transaction) = w.take_commit();
-    let outcome = w.store.apply(&transaction);
-    w.leader.transaction_answered(w.now, id, outcome);
+    w.place_and_record();
     w.leader.cluster.machines[0].fence.raise();
     w.heartbeat("n-1");
     w.heartbeat("n-1");
@@ -664,10 +661,7 @@
     use walnutlug_scheduler::protocol::workers::TaskState;
     let mut w = World::new(&[("n-1", "a"), ("n-2", "a")]);
     w.submit(JOB, &spec(1));
-    w.tick();
-    let (id, transaction) = w.take_commit();
-    let outcome = w.store.apply(&transaction);
-    w.leader.transaction_answered(w.now, id, outcome);
+    w.place_and_record();
     let task = format!("{JOB}/0");
     let ix = w.leader.cluster.jobs_by_name[JOB];
     let planned_machine = w.leader.cluster.job(ix).expect("job").tasks[0].machine;
@@ -701,10 +695,7 @@
     use walnutlug_scheduler::protocol::workers::TaskState;
     let mut w = one_machine();
     w.submit(JOB, &spec(1));
-    w.tick();
-    let (id, transaction) = w.take_commit();
-    let outcome = w.store.apply(&transaction);
-    w.leader.transaction_answered(w.now, id, outcome);
+    w.place_and_record();
     let task = format!("{JOB}/0");
     for (name, attempt) in [("n-2", Attempt(7)), ("n-3", Attempt(8))] {
         let mut worker = world::Worker::new(name, "a");
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -448,12 +448,18 @@
         }
     }
 
-    /// Lets the leader place waiting tasks, commits the transaction and lets it send the starts.
-    pub fn place_and_commit(&mut self) {
+    /// Lets the leader place waiting tasks and commits the transaction, without a tick in which the
+    /// starts could be sent.
+    pub fn place_and_record(&mut self) {
         self.tick();
         let (id, transaction) = self.take_commit();
         let outcome = self.store.apply(&transaction);
         self.leader.transaction_answered(self.now, id, outcome);
+    }
+
+    /// Lets the leader place waiting tasks, commits the transaction and lets it send the starts.
+    pub fn place_and_commit(&mut self) {
+        self.place_and_record();
         self.tick();
     }
 
