A task record is replaced only if every task of it stays in a record

Cause: a part's key names its first task, and its length follows from the value limit that the leader knows at that moment. Tasks 14 to 29 are in no record any more, and the successor takes them for never placed. Any two leaders that know different limits, or one whose limits fall twice or rise at a restart, lead to the same write.

Change: `ChunkRecords` keeps for every stored record of a chunk the tasks that it holds, as read or written. `Batch::put_tasks`, the only way to write a task record, refuses a record that would leave a task of the replaced one without a record at least as new, and names that task; its window is then added first, in the same or an earlier transaction. So every commit leaves the newest state of each task in the store, also if the leader ends between two transactions. Keys and values are as before, and older versions read them as before.

--- a/crates/scheduler/src/model/job.rs
+++ b/crates/scheduler/src/model/job.rs
@@ -12,15 +12,15 @@
 use crate::model::job_state::{JobEvent, JobState};
 use crate::model::task::Task;
 use crate::queue::dependencies::EffectiveDeadline;
-use crate::storage::revision::Revision;
+use crate::storage::chunk_records::ChunkRecords;
 use crate::time::{TimeDelta, Timestamp};
 
-/// State of the stored record that holds a contiguous range of a job's tasks.
+/// State of the stored records of a contiguous range of a job's tasks.
 #[derive(Debug, Clone, Default)]
 pub struct Chunk {
-    /// Revision of the record's key in the key-value store.
-    pub revision: Revision,
-    /// Whether a transaction that writes this record is in flight.
+    /// Stored records that hold tasks of the chunk.
+    pub records: ChunkRecords,
+    /// Whether a transaction that writes any of these records is in flight.
     pub in_flight: bool,
     /// When the oldest planned start that is still to be written was planned.
     pub start_due: Option<Timestamp>,
@@ -54,8 +54,6 @@
     pub chunk_size: u32,
     /// Chunks in task order.
     pub chunks: Vec<Chunk>,
-    /// Revisions of chunk parts that are stored under separate keys, by chunk and first task.
-    pub parts: BTreeMap<(usize, u32), Revision>,
     /// Tasks that changed since their records were last written.
     pub changed: RoaringBitmap,
     /// Tasks by index in the array.
@@ -110,7 +108,6 @@
             effective_deadline: EffectiveDeadline::of(&spec, accepted),
             chunk_size,
             chunks: vec![Chunk::default(); chunks],
-            parts: BTreeMap::new(),
             changed: RoaringBitmap::new(),
             tasks: vec![Task::new(now); spec.tasks as usize],
             stored_completions: RoaringBitmap::new(),
--- a/crates/scheduler/src/storage/batch.rs
+++ b/crates/scheduler/src/storage/batch.rs
@@ -1,6 +1,8 @@
 //! Batches: the writes of one transaction, and the changes to the cluster that follow from its
 //! outcome.
 
+use std::ops::Range;
+
 use crate::event::{Event, JobDone};
 use crate::leadership::fencing_token::Term;
 use crate::model::cluster::Cluster;
@@ -11,9 +13,10 @@
 use crate::model::start::TaskStart;
 use crate::model::task::TaskEvent;
 use crate::protocol::key_value::{Compare, Operation, Transaction};
+use crate::storage::chunk_records::{PartKey, StoredRecord};
 use crate::storage::deletion::RecordDeletion;
-use crate::storage::document::Document;
 use crate::storage::keys;
+use crate::storage::records::EncodedTasks;
 use crate::storage::revision::Revision;
 use crate::time::Timestamp;
 
@@ -33,10 +36,22 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct TaskRecordId {
     pub(crate) chunk: ChunkId,
-    /// Number of the part's first task; `None` for the whole chunk.
-    pub(crate) part: Option<u32>,
+    pub(crate) part: PartKey,
+}
+
+/// A task record that a batch writes.
+#[derive(Debug)]
+struct TaskRecordWrite {
+    id: TaskRecordId,
+    /// Tasks that the record holds.
+    tasks: Range<u32>,
 }
 
+/// A task whose newest state would be in no record after a write, unless the same or an earlier
+/// transaction writes it to another record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct LostTask(pub(crate) u32);
+
 /// The end of a job that a batch writes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct JobEndWrite {
@@ -52,7 +67,7 @@
     /// Chunks of which the batch writes the whole or a part.
     chunks: Vec<ChunkId>,
     /// Records that the batch writes for these chunks.
-    records: Vec<TaskRecordId>,
+    records: Vec<TaskRecordWrite>,
     /// Tasks that changed since their last write and are written by this batch.
     changed: Vec<TaskId>,
     /// Starts that are not recorded yet and become recorded with the batch.
@@ -124,27 +139,44 @@
     }
 
     /// Adds the record of a chunk, or of a part of it.
-    pub(crate) fn put_tasks(&mut self, job: &Job, record: TaskRecordId, value: Document) {
-        let TaskRecordId { chunk: ChunkId { chunk, .. }, part } = record;
-        let whole = keys::run(&job.name, chunk);
-        self.compare(&whole, job.chunks[chunk].revision);
-        let key = match part {
-            Some(from) => {
-                let key = keys::part(&job.name, chunk, from);
-                self.compare(
-                    &key,
-                    job.parts.get(&(chunk, from)).copied().unwrap_or(Revision::NONE),
-                );
-                key
-            }
-            None => whole,
-        };
+    ///
+    /// # Errors
+    ///
+    /// If a task of the replaced record would be in no record afterwards, nothing is added. This is
+    /// the only way to write a task record, so no transaction takes the state of a task out of the
+    /// store.
+    pub(crate) fn put_tasks(
+        &mut self,
+        job: &Job,
+        id: TaskRecordId,
+        encoded: EncodedTasks,
+    ) -> Result<(), LostTask> {
+        let TaskRecordId { chunk: ChunkId { chunk, .. }, part } = id;
+        let records = &job.chunks[chunk].records;
+        let is_rewritten = |task| self.rewrites(id.chunk, task);
+        if let Some(task) = records.task_lost_by(part, encoded.tasks(), is_rewritten) {
+            return Err(LostTask(task));
+        }
+        let key = keys::task_record(&job.name, chunk, part);
+        self.compare(&keys::run(&job.name, chunk), records.revision(None));
+        self.compare(&key, records.revision(part));
         // No task may be dispatched after its job's cancellation was confirmed, so the write itself
         // requires that the job has no end.
         self.compare(&keys::end(&job.name), Revision::NONE);
-        self.bytes += value.size() + key.len() * 2 + OPERATION_OVERHEAD_BYTES;
-        self.transaction.operations.push(Operation::put_document(key, value));
-        self.records.push(record);
+        self.bytes += encoded.size() + key.len() * 2 + OPERATION_OVERHEAD_BYTES;
+        self.records.push(TaskRecordWrite { id, tasks: encoded.tasks().clone() });
+        self.transaction.operations.push(Operation::put_document(key, encoded.into_value()));
+        Ok(())
+    }
+
+    /// Returns whether the batch writes the record.
+    pub(crate) fn writes(&self, id: TaskRecordId) -> bool {
+        self.records.iter().any(|record| record.id == id)
+    }
+
+    /// Returns whether one of the chunk's records in the batch holds the task.
+    fn rewrites(&self, chunk: ChunkId, task: u32) -> bool {
+        self.records.iter().any(|record| record.id.chunk == chunk && record.tasks.contains(&task))
     }
 
     /// Adds a job's end; the transaction fails if the job already has one.
@@ -196,13 +228,9 @@
                 job.chunks[*chunk].in_flight = false;
             }
         }
-        for TaskRecordId { chunk: ChunkId { job, chunk }, part } in self.records {
-            let Some(job) = cluster.jobs.get_mut(&job) else { continue };
-            match part {
-                Some(from) => {
-                    job.parts.insert((chunk, from), revision);
-                }
-                None => job.chunks[chunk].revision = revision,
+        for TaskRecordWrite { id: TaskRecordId { chunk, part }, tasks } in self.records {
+            if let Some(job) = cluster.jobs.get_mut(&chunk.job) {
+                job.chunks[chunk.chunk].records.insert(part, StoredRecord { tasks, revision });
             }
         }
         for TaskId { job, index } in self.completions {
--- a/crates/scheduler/src/storage/chunk_writes.rs
+++ b/crates/scheduler/src/storage/chunk_writes.rs
@@ -6,6 +6,10 @@
 //! Every record holds the current state of its tasks and is guarded by its own revision. A reader
 //! uses, for each task, the record that was written last, so the records are consistent even if a
 //! leader stops after writing only some of the parts.
+//!
+//! How many tasks a part holds depends on the value limit that the leader knows, and may change with
+//! every write. Before a part is replaced by a shorter one, the tasks beyond its new end are written
+//! to parts of their own, in the same or an earlier transaction.
 
 use std::collections::BTreeSet;
 use std::ops::Range;
@@ -15,8 +19,8 @@
 use crate::model::job::{Chunk, Job};
 use crate::model::start::TaskStart;
 use crate::model::task::TaskPhase;
-use crate::storage::batch::{Batch, ChunkId, TaskRecordId};
-use crate::storage::records;
+use crate::storage::batch::{Batch, ChunkId, LostTask, TaskRecordId};
+use crate::storage::records::{self, EncodedTasks};
 use crate::storage::transactions::Transactions;
 
 /// Adds changed chunks to a batch until it holds `max_operations` operations.
@@ -33,53 +37,63 @@
         let Some(job) = self.cluster.jobs.get(&id.job) else { return };
         let tasks = job.chunk_tasks(id.chunk);
         let nonce = self.transactions.next_nonce();
-        let value = records::encode_tasks(self.cluster, job, tasks.clone(), &nonce);
-        if value.size() > self.transactions.limits().value_bytes {
-            return self.add_parts(id, tasks, &nonce);
+        let encoded = EncodedTasks::new(self.cluster, job, tasks.clone(), &nonce);
+        let value_bytes = self.transactions.limits().value_bytes;
+        if encoded.size() > value_bytes {
+            let windows = Windows { tasks, size: records::part_size(value_bytes) };
+            return self.add_parts(id, &windows, &nonce);
         }
-        self.note_tasks(id, tasks);
-        if let Some(job) = self.cluster.jobs.get(&id.job) {
-            self.batch.put_tasks(job, TaskRecordId { chunk: id, part: None }, value);
+        // The record holds all tasks of the chunk, so it takes none out of the store.
+        if self.batch.put_tasks(job, TaskRecordId { chunk: id, part: None }, encoded).is_ok() {
+            self.note_tasks(id, tasks);
+            self.mark_in_flight(id, BatchedChanges::All);
         }
-        self.mark_in_flight(id, BatchedChanges::All);
     }
 
     /// Adds the changed tasks as parts of the chunk.
-    fn add_parts(&mut self, id: ChunkId, tasks: Range<u32>, nonce: &str) {
-        let size = records::part_size(self.transactions.limits().value_bytes);
+    fn add_parts(&mut self, id: ChunkId, windows: &Windows, nonce: &str) {
         let Some(job) = self.cluster.jobs.get(&id.job) else { return };
-        // First tasks of the fixed-size windows that contain changed tasks. Windows are aligned to
-        // the start of the chunk, so every write uses the same part keys.
-        let windows: BTreeSet<u32> = job
-            .changed
-            .range(tasks.clone())
-            .map(|task| task - (task - tasks.start) % size)
-            .collect();
-        if windows.is_empty() {
+        let changed = job.changed.range(windows.tasks.clone());
+        let firsts: BTreeSet<u32> = changed.map(|task| windows.around(task).start).collect();
+        if firsts.is_empty() {
             // Every change of the chunk is already stored, so there is no write to wait for.
             if let Some(chunk) = self.chunk_mut(id) {
                 (chunk.start_due, chunk.unpersisted_since) = (None, None);
             }
             return;
         }
-        for from in windows {
-            if self.batch.is_full(self.max_operations) {
+        for first in firsts {
+            if self.add_part(id, windows, first, nonce).is_err() {
                 // The remaining parts are written in the next round.
                 return self.mark_in_flight(id, BatchedChanges::Partial);
             }
-            self.add_part(id, from..(from + size).min(tasks.end), nonce);
         }
         self.mark_in_flight(id, BatchedChanges::All);
     }
 
-    fn add_part(&mut self, id: ChunkId, tasks: Range<u32>, nonce: &str) {
-        let Some(job) = self.cluster.jobs.get(&id.job) else { return };
+    /// Adds the window around the task as a part, unless the batch has it already. The tasks that
+    /// the replaced record would leave without one are added first; they are in later windows.
+    fn add_part(
+        &mut self,
+        id: ChunkId,
+        windows: &Windows,
+        task: u32,
+        nonce: &str,
+    ) -> Result<(), BatchFull> {
+        let tasks = windows.around(task);
         let record = TaskRecordId { chunk: id, part: Some(tasks.start) };
-        let value = records::encode_tasks(self.cluster, job, tasks.clone(), nonce);
-        self.note_tasks(id, tasks);
-        if let Some(job) = self.cluster.jobs.get(&id.job) {
-            self.batch.put_tasks(job, record, value);
+        while !self.batch.writes(record) {
+            if self.batch.is_full(self.max_operations) {
+                return Err(BatchFull);
+            }
+            let Some(job) = self.cluster.jobs.get(&id.job) else { return Ok(()) };
+            let encoded = EncodedTasks::new(self.cluster, job, tasks.clone(), nonce);
+            match self.batch.put_tasks(job, record, encoded) {
+                Ok(()) => self.note_tasks(id, tasks.clone()),
+                Err(LostTask(task)) => self.add_part(id, windows, task, nonce)?,
+            }
         }
+        Ok(())
     }
 
     /// Registers with the batch how its outcome affects each of these tasks.
@@ -110,6 +124,26 @@
     }
 }
 
+/// The division of a chunk's tasks into parts of equal size. They are aligned to the start of the
+/// chunk, so every write under the same limit uses the same part keys.
+struct Windows {
+    /// Tasks of the chunk.
+    tasks: Range<u32>,
+    /// Number of tasks in each part but the last.
+    size: u32,
+}
+
+impl Windows {
+    /// Returns the tasks of the part that contains the task.
+    fn around(&self, task: u32) -> Range<u32> {
+        let first = task - (task - self.tasks.start) % self.size;
+        first..first.saturating_add(self.size).min(self.tasks.end)
+    }
+}
+
+/// The batch holds as many operations as it may.
+struct BatchFull;
+
 /// How many of a chunk's changes the batch contains.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum BatchedChanges {
--- a/crates/scheduler/src/storage/deletion.rs
+++ b/crates/scheduler/src/storage/deletion.rs
@@ -8,11 +8,12 @@
 use crate::model::job::Job;
 use crate::model::job_state::JobEvent;
 use crate::storage::batch::Batch;
+use crate::storage::chunk_records::{PartKey, StoredRecord};
 use crate::storage::keys;
 use crate::storage::revision::Revision;
 
 /// Identifies a part of a chunk by the chunk's number and the part's first task.
-type PartId = (usize, u32);
+type PartId = (usize, PartKey);
 
 /// The records of a job that one transaction deletes.
 #[derive(Debug)]
@@ -38,8 +39,7 @@
     job.apply(JobEvent::DeletionStarted);
     delete_chunks(batch, job, max_operations);
     let parts = delete_parts(batch, job, max_operations);
-    let records_remain =
-        !job.parts.is_empty() || job.chunks.iter().any(|chunk| chunk.revision > Revision::NONE);
+    let records_remain = job.chunks.iter().any(|chunk| !chunk.records.is_empty());
     let is_complete = !records_remain && !batch.is_full(max_operations);
     if is_complete {
         batch.delete(keys::description(&job.name, !job.spec.dependencies.is_empty()));
@@ -54,19 +54,20 @@
 
 fn delete_chunks(batch: &mut Batch, job: &mut Job, max_operations: usize) {
     for (number, chunk) in job.chunks.iter_mut().enumerate() {
-        if chunk.revision > Revision::NONE && !batch.is_full(max_operations) {
+        if !batch.is_full(max_operations) && chunk.records.remove_whole() {
             batch.delete(keys::run(&job.name, number));
-            chunk.revision = Revision::NONE;
         }
     }
 }
 
 fn delete_parts(batch: &mut Batch, job: &mut Job, max_operations: usize) -> Vec<PartId> {
     let mut deleted = Vec::new();
-    while !batch.is_full(max_operations) {
-        let Some((part, _)) = job.parts.pop_first() else { break };
-        batch.delete(keys::part(&job.name, part.0, part.1));
-        deleted.push(part);
+    for (number, chunk) in job.chunks.iter_mut().enumerate() {
+        while !batch.is_full(max_operations) {
+            let Some(part) = chunk.records.pop_first_part() else { break };
+            batch.delete(keys::task_record(&job.name, number, part));
+            deleted.push((number, part));
+        }
     }
     deleted
 }
@@ -86,10 +87,13 @@
     pub(crate) fn not_executed(self, cluster: &mut Cluster) {
         let Some(job) = cluster.jobs.get_mut(&self.job) else { return };
         job.apply(JobEvent::DeletionIncomplete);
-        job.parts.extend(self.parts.into_iter().map(|part| (part, Revision::UNKNOWN)));
         // It is unknown which chunks still exist; deleting a missing key has no effect.
-        for chunk in &mut job.chunks {
-            chunk.revision = chunk.revision.max(Revision::UNKNOWN);
+        let chunks = (0..job.chunks.len()).map(|chunk| (chunk, None));
+        let deleted = self.parts.into_iter().chain(chunks);
+        for (chunk, part) in deleted.collect::<Vec<PartId>>() {
+            let tasks = job.chunk_tasks(chunk);
+            let record = StoredRecord { tasks, revision: Revision::UNKNOWN };
+            job.chunks[chunk].records.insert(part, record);
         }
     }
 }
--- a/crates/scheduler/src/storage/keys.rs
+++ b/crates/scheduler/src/storage/keys.rs
@@ -60,6 +60,14 @@
     format!("{RUN}{name}/{chunk:05}.{from:06}")
 }
 
+/// Returns the key of a chunk, or of the part of it whose first task is given.
+pub fn task_record(name: &str, chunk: usize, part: Option<u32>) -> String {
+    match part {
+        Some(from) => self::part(name, chunk, from),
+        None => run(name, chunk),
+    }
+}
+
 /// The parsed key of a chunk or of a part of a chunk.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RunKey<'a> {
--- a/crates/scheduler/src/storage/loader.rs
+++ b/crates/scheduler/src/storage/loader.rs
@@ -14,6 +14,7 @@
 use crate::model::task::TaskPhase;
 use crate::protocol::key_value::KeyValue;
 use crate::protocol::users::MAX_TASKS;
+use crate::storage::chunk_records::StoredRecord;
 use crate::storage::keys::RunKey;
 use crate::storage::records::{
     DescriptionRecord, StoredChunk, StoredProgress, StoredTask, TaskState,
@@ -113,8 +114,8 @@
     unreadable
 }
 
-/// Decodes a chunk or a part, and stores its revision in the job. Returns `None` if it belongs to
-/// no job or can't be decoded.
+/// Decodes a chunk or a part, and registers it in the job. Returns `None` if it belongs to no job
+/// or can't be decoded.
 fn read_chunk<'a>(
     cluster: &mut Cluster,
     key_value: &'a KeyValue,
@@ -127,22 +128,15 @@
     let base = key.chunk as u32 * job.chunk_size;
     let first = match key.part {
         Some(from) if from < base || from >= base.saturating_add(job.chunk_size) => return None,
-        Some(from) => {
-            job.parts.insert((key.chunk, from), key_value.revision);
-            from
-        }
-        None => {
-            chunk.revision = key_value.revision;
-            base
-        }
+        Some(from) => from,
+        None => base,
     };
-    let end = base.saturating_add(job.chunk_size).min(job.spec.tasks);
-    Some(
-        (first..end)
-            .zip(records)
-            .map(|(index, record)| (TaskId { job: job_index, index }, record))
-            .collect(),
-    )
+    let chunk_end = base.saturating_add(job.chunk_size).min(job.spec.tasks);
+    let tasks = first..chunk_end.min(first.saturating_add(records.len() as u32));
+    let stored = StoredRecord { tasks: tasks.clone(), revision: key_value.revision };
+    chunk.records.insert(key.part, stored);
+    let ids = tasks.map(|index| TaskId { job: job_index, index });
+    Some(ids.zip(records).collect())
 }
 
 /// A task that is on a machine according to its record.
--- a/crates/scheduler/src/storage/records.rs
+++ b/crates/scheduler/src/storage/records.rs
@@ -92,17 +92,40 @@
     }
 }
 
-/// Encodes the job's tasks in the given range. `nonce` identifies the transaction that will write
-/// them.
-pub(crate) fn encode_tasks(
-    cluster: &Cluster,
-    job: &Job,
+/// The encoded state of consecutive tasks.
+#[derive(Debug)]
+pub(crate) struct EncodedTasks {
     tasks: Range<u32>,
-    nonce: &str,
-) -> Document {
-    let tasks = job.tasks[tasks.start as usize..tasks.end as usize].iter();
-    let tasks = tasks.map(|task| TaskRecord::new(cluster, job, task)).collect();
-    Document::new(&ChunkRecord { tasks, nonce })
+    value: Document,
+}
+
+impl EncodedTasks {
+    /// Encodes the job's tasks in the given range. `nonce` identifies the transaction that will
+    /// write them.
+    pub(crate) fn new(
+        cluster: &Cluster,
+        job: &Job,
+        tasks: Range<u32>,
+        nonce: &str,
+    ) -> EncodedTasks {
+        let states = job.tasks[tasks.start as usize..tasks.end as usize].iter();
+        let states = states.map(|task| TaskRecord::new(cluster, job, task)).collect();
+        EncodedTasks { tasks, value: Document::new(&ChunkRecord { tasks: states, nonce }) }
+    }
+
+    /// Returns the tasks that the value holds.
+    pub(crate) fn tasks(&self) -> &Range<u32> {
+        &self.tasks
+    }
+
+    /// Returns the size of the value in bytes.
+    pub(crate) fn size(&self) -> usize {
+        self.value.size()
+    }
+
+    pub(crate) fn into_value(self) -> Document {
+        self.value
+    }
 }
 
 /// Stored form of a chunk or of a part of one, as read.
--- a/crates/scheduler/tests/random_interleavings.rs
+++ b/crates/scheduler/tests/random_interleavings.rs
@@ -1,20 +1,27 @@
 //! Property tests that interleave random ticks, message deliveries, losses and failures.
 //!
-//! In every order a task must be live on at most one machine, and a job's stored end must never
-//! change. The seed is fixed, so each run tests the same cases.
+//! In every order a task must be live on at most one machine, a job's stored end must never change,
+//! and after every commit a successor must know where each task is that was sent and has not ended,
+//! whatever limits of the store its leaders know. The seed is fixed, so each run tests the same
+//! cases.
 
 mod world;
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use serde_json::json;
 use walnutlug_scheduler::command::{Command, MessageOutcome, ReadOutcome, TransactionOutcome};
 use walnutlug_scheduler::leadership::fencing_token::{FencingToken, Term};
 use walnutlug_scheduler::model::ids::AgentEpoch;
+use walnutlug_scheduler::model::job_spec::JobSpec;
+use walnutlug_scheduler::protocol::key_value::Transaction;
 use walnutlug_scheduler::protocol::workers::{Heartbeat, WorkerCommand};
 use walnutlug_scheduler::reconciliation::heartbeats::HeartbeatAnswer;
 use walnutlug_scheduler::scheduler::Scheduler;
 use walnutlug_scheduler::storage::transactions::TransactionLimits;
+use world::known_tasks::{self, SentTask};
 use world::recorded_starts::assert_starts_are_recorded;
 use world::{spec, World};
 
@@ -22,7 +29,7 @@
 enum Message {
     /// A transaction of the leader of that term. The id is `None` for a duplicate, whose response
     /// nobody awaits.
-    Commit(Term, Option<u64>, walnutlug_scheduler::protocol::key_value::Transaction),
+    Commit(Term, Option<u64>, Transaction),
     /// The read of a key, with the id of the request.
     Read(Term, u64, String),
     /// A leader's request for the ends of these jobs.
@@ -40,9 +47,15 @@
     Heartbeat(Heartbeat),
 }
 
-/// The key-value store's limits after they are lowered: largest value in bytes and most operations
-/// per transaction. A chunk written by the previous version with all tasks placed exceeds them.
-const LOWERED_LIMITS: (usize, usize) = (100, 2);
+/// Limits of the key-value store, from high to low: largest value in bytes and most operations per
+/// transaction. With all tasks placed, a chunk written by the previous version exceeds the second
+/// and the following ones, which hold parts of five, four, three, two and one tasks.
+const LIMITS: [(usize, usize); 6] = [(4_096, 12), (416, 3), (352, 2), (288, 2), (224, 1), (100, 1)];
+
+/// Returns the name of a machine, so long that task records of a few machines exceed the limits.
+fn machine_name(number: usize) -> String {
+    format!("machine-{number:032}")
+}
 
 /// The cluster under test and everything that can still happen to it.
 struct RandomRun {
@@ -52,15 +65,22 @@
     /// Messages in flight.
     pending: Vec<Message>,
     /// Tasks that a worker ran to completion.
-    completed: std::collections::BTreeSet<String>,
+    completed: BTreeSet<String>,
     /// Machines whose heartbeats arrive, but which receive neither responses nor commands.
-    unreachable: std::collections::BTreeSet<String>,
+    unreachable: BTreeSet<String>,
     /// How many of [`JOBS`] are accepted so far.
     accepted: usize,
     /// Whether the upgrade still goes on, so that a node of the previous version may become leader.
     upgrading: bool,
     /// Terms of leaders that run the previous version.
-    previous_version_terms: std::collections::BTreeSet<Term>,
+    previous_version_terms: BTreeSet<Term>,
+    /// Which of [`LIMITS`] the store enforces.
+    store_limits: usize,
+    /// Which of [`LIMITS`] the leader of each term knows. Those may be higher or lower than the
+    /// enforced ones.
+    known_limits: BTreeMap<Term, usize>,
+    /// Every start that a leader sent while it led.
+    sent_tasks: BTreeSet<SentTask>,
 }
 
 /// The jobs and the jobs that each depends on. The first two are accepted before the upgrade, with
@@ -76,12 +96,28 @@
 ];
 /// Tasks per chunk in the previous version.
 const PREVIOUS_VERSION_CHUNK: u32 = 168;
+/// Tasks of each job that is accepted before the upgrade.
+const FORMER_JOB_TASKS: u32 = 8;
+/// Tasks of each job that is accepted after the upgrade has begun.
+const JOB_TASKS: u32 = 3;
+
+/// Returns the number of tasks of the job with that position in [`JOBS`].
+fn tasks_of(job: usize) -> u32 {
+    if job < 2 {
+        FORMER_JOB_TASKS
+    } else {
+        JOB_TASKS
+    }
+}
 
 impl RandomRun {
     fn new() -> RandomRun {
-        let mut w = World::new(&[("n-1", "a"), ("n-2", "b"), ("n-3", "a")]);
+        let machines = [1, 2, 3].map(machine_name);
+        let zones = ["a", "b", "a"];
+        let machines: Vec<(&str, &str)> = machines.iter().map(String::as_str).zip(zones).collect();
+        let mut w = World::new(&machines);
         for (job, _) in &JOBS[..2] {
-            w.submit_in_chunks(job, &spec(3), PREVIOUS_VERSION_CHUNK);
+            w.submit_in_chunks(job, &spec(FORMER_JOB_TASKS), PREVIOUS_VERSION_CHUNK);
         }
         RandomRun {
             accepted: 2,
@@ -92,6 +128,9 @@
             pending: Vec::new(),
             completed: Default::default(),
             unreachable: Default::default(),
+            store_limits: 0,
+            known_limits: Default::default(),
+            sent_tasks: Default::default(),
         }
     }
 
@@ -102,6 +141,50 @@
         self.old_leaders.iter_mut().find(|s| s.term == term)
     }
 
+    /// Lets the leader of the term know the limits with that position in [`LIMITS`].
+    fn set_known_limits(&mut self, term: Term, limits: usize) {
+        let limits = limits.min(LIMITS.len() - 1);
+        self.known_limits.insert(term, limits);
+        let (value_bytes, operations) = LIMITS[limits];
+        if let Some(s) = self.scheduler(term) {
+            s.set_limits(TransactionLimits { value_bytes, operations });
+        }
+    }
+
+    /// Lowers the limits that the leader of the term knows, because the store refused a
+    /// transaction for its size.
+    fn learn_of_refusal(&mut self, term: Term) {
+        let known = self.known_limits.get(&term).copied().unwrap_or(0);
+        self.set_known_limits(term, known + 1);
+    }
+
+    /// Executes a transaction and checks what a successor would know then.
+    fn apply(&mut self, term: Term, transaction: &Transaction) -> TransactionOutcome {
+        let before = self.w.store.store_revision;
+        let outcome = self.w.store.apply(transaction);
+        match &outcome {
+            TransactionOutcome::Committed { .. } => {
+                self.w.assert_successor_knows(self.tasks_not_ended(), before);
+            }
+            TransactionOutcome::TooLarge => self.learn_of_refusal(term),
+            _ => {}
+        }
+        outcome
+    }
+
+    /// Returns the sent tasks that are live, or that a message in flight can still start.
+    fn tasks_not_ended(&self) -> BTreeSet<SentTask> {
+        let mut tasks = known_tasks::live_tasks(&self.w.workers);
+        for message in &self.pending {
+            if let Message::WorkerCommands { name, token, agent_epoch, calls, .. } = message {
+                let worker = &self.w.workers[name];
+                tasks.extend(known_tasks::startable_tasks(worker, *token, *agent_epoch, calls));
+            }
+        }
+        tasks.retain(|task| self.sent_tasks.contains(task));
+        tasks
+    }
+
     /// Puts a leader's commands in flight.
     fn enqueue(&mut self, term: Term, commands: Vec<Command>) {
         for command in commands {
@@ -145,6 +228,7 @@
         s.tick(now);
         let (term, commands) = (s.term, s.take_commands());
         assert_starts_are_recorded(&self.w.store, s, &commands);
+        self.sent_tasks.extend(known_tasks::sent_tasks(s, &commands));
         self.enqueue(term, commands);
     }
 
@@ -160,11 +244,11 @@
                 let (outcome, copy) = match fate % 6 {
                     0 => (TransactionOutcome::Indeterminate, true),
                     1 => {
-                        self.w.store.apply(&transaction);
+                        self.apply(term, &transaction);
                         (TransactionOutcome::Indeterminate, false)
                     }
                     2 => (TransactionOutcome::Rejected, false),
-                    _ => (self.w.store.apply(&transaction), false),
+                    _ => (self.apply(term, &transaction), false),
                 };
                 if copy {
                     self.pending.push(Message::Commit(term, None, transaction));
@@ -304,16 +388,23 @@
                 worker.tasks.clear();
                 let now = self.w.now;
                 self.w.leader.machine_gone(now, name);
-                let fresh = format!("n-{}", names.len() + 1);
+                let fresh = machine_name(names.len() + 1);
                 self.w.workers.insert(fresh.clone(), world::Worker::new(&fresh, "a"));
             }
             27 if pick.is_multiple_of(3) => {
                 let previous_version = self.upgrading && pick.is_multiple_of(2);
                 let old_leader = self.w.take_over_as(previous_version);
                 self.old_leaders.push(old_leader);
+                let term = self.w.leader.term;
                 if previous_version {
-                    self.previous_version_terms.insert(self.w.leader.term);
+                    self.previous_version_terms.insert(term);
                 }
+                // A process that starts knows the configured limits, or those of another page.
+                self.set_known_limits(term, pick / 3 % LIMITS.len());
+            }
+            28 if pick % 4 == 1 => {
+                // The leader learns of limits from a peer, or forgets them at a restart.
+                self.set_known_limits(self.w.leader.term, pick / 4 % LIMITS.len());
             }
             28 if pick.is_multiple_of(16) => {
                 let job = JOBS[pick / 16 % self.accepted].0;
@@ -325,8 +416,7 @@
                 let (job, dependencies) = JOBS[self.accepted];
                 self.accepted += 1;
                 let dependencies = dependencies.iter().map(|n| (*n).to_owned()).collect();
-                let spec =
-                    walnutlug_scheduler::model::job_spec::JobSpec { dependencies, ..spec(3) };
+                let spec = JobSpec { dependencies, ..spec(JOB_TASKS) };
                 // A leader of the previous version isn't notified of jobs with dependencies.
                 if self.previous_version_terms.contains(&self.w.leader.term) {
                     self.w.store_job(job, &spec, 2);
@@ -335,16 +425,13 @@
                 }
             }
             31 if pick.is_multiple_of(5) => {
-                // The first time, the upgrade ends. Later the store's limits are lowered below the
-                // size of the previous version's chunks.
-                if !self.upgrading && !self.previous_version_terms.contains(&self.w.leader.term) {
-                    self.w.store.limits = Some(LOWERED_LIMITS);
-                    for s in self.old_leaders.iter_mut().chain([&mut self.w.leader]) {
-                        s.set_limits(TransactionLimits {
-                            value_bytes: LOWERED_LIMITS.0,
-                            operations: LOWERED_LIMITS.1,
-                        });
-                    }
+                // The first time, the upgrade ends. Later the store's limits are lowered, also more
+                // than once.
+                let previous_version = self.previous_version_terms.contains(&self.w.leader.term);
+                if !self.upgrading && !previous_version {
+                    let lowered = self.store_limits + 1 + pick / 5 % 2;
+                    self.store_limits = lowered.min(LIMITS.len() - 1);
+                    self.w.store.limits = Some(LIMITS[self.store_limits]);
                 }
                 self.upgrading = false;
             }
@@ -375,9 +462,9 @@
         for (task, machines) in self.w.places() {
             assert!(machines.len() <= 1, "{task} is on {machines:?}");
         }
-        for (job, dependencies) in JOBS {
+        for (number, (job, dependencies)) in JOBS.into_iter().enumerate() {
             if self.w.end(job) == Some(&json!("done")) {
-                for i in 0..3 {
+                for i in 0..tasks_of(number) {
                     assert!(
                         self.completed.contains(&format!("{job}/{i}")),
                         "{job} is done, but its task {i} never completed"
@@ -385,7 +472,7 @@
                 }
             }
             let live = |i: &u32| !self.w.places_of(&format!("{job}/{i}")).is_empty();
-            if (0..3).any(|i| live(&i)) {
+            if (0..tasks_of(number)).any(|i| live(&i)) {
                 for dependency in dependencies {
                     let end = self.w.end(dependency);
                     assert_eq!(
@@ -439,7 +526,7 @@
             Command::ScaleOut { kind, zone, spot, count } => {
                 let first = w.workers.len() + 1;
                 let numbers = first..first + count as usize;
-                let names: Vec<String> = numbers.map(|number| format!("n-{number}")).collect();
+                let names: Vec<String> = numbers.map(machine_name).collect();
                 for name in &names {
                     w.workers.insert(name.clone(), world::Worker::new(name, &zone));
                 }
--- a/crates/scheduler/tests/storage_limits.rs
+++ b/crates/scheduler/tests/storage_limits.rs
@@ -1,5 +1,6 @@
 //! Tests of the key-value store lowering its limits without notice. Chunks that are now too large
-//! are continued in small parts, and the stored state is correct after every single write.
+//! are continued in small parts, and the stored state is correct after every single write, whatever
+//! limits its leaders know.
 
 mod world;
 
@@ -103,6 +104,124 @@
     assert!(!w.store.keys.contains_key(&keys::todo(JOB)));
 }
 
+/// Sets the limits that the leader knows; the store has none.
+fn set_known_limits(w: &mut World, (value_bytes, operations): (usize, usize)) {
+    w.leader.set_limits(TransactionLimits { value_bytes, operations });
+}
+
+/// Returns whether a transaction of the leader is pending.
+fn has_commit(w: &World) -> bool {
+    w.commands.iter().any(|command| matches!(command, Command::Commit { .. }))
+}
+
+/// Guards against `ran_twice` after a failover: the known limits fell twice, a part was replaced by
+/// a shorter one, and the placed tasks beyond its end were in no record any more.
+#[test]
+fn a_shorter_part_takes_no_placed_task_out_of_the_store() {
+    let mut w = world_with_machines(40);
+    w.submit_in_chunks(JOB, &spec(160), OLD_CHUNK_SIZE);
+    set_known_limits(&mut w, LOWERED_LIMITS);
+    w.settle();
+    assert_eq!(w.places().len(), 160);
+    set_known_limits(&mut w, (1_024, 4));
+    w.finish("n-000000", "req-000001/0");
+    w.send_all_heartbeats();
+    w.wait(6_000);
+    w.settle();
+    assert!(chunk_keys(&w).contains(&keys::part(JOB, 0, 14)), "{:?}", chunk_keys(&w));
+    assert_new_leader_knows_placed_tasks(&mut w);
+    w.settle();
+    for (task, machines) in w.places() {
+        assert_eq!(machines.len(), 1, "{task} is on {machines:?}");
+    }
+}
+
+/// What happens to the answer of a transaction.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Answer {
+    Arrives,
+    /// It is lost, and the transaction was executed.
+    LostAfterExecution,
+    /// It is lost, and the transaction was not executed.
+    LostWithoutExecution,
+}
+
+/// Answers the pending transaction, and resends it if the answer is lost.
+fn answer_commit(w: &mut World, answer: Answer) {
+    let (id, transaction) = w.take_commit();
+    if answer != Answer::LostWithoutExecution {
+        w.store.apply(&transaction);
+    }
+    let outcome = match answer {
+        Answer::Arrives => TransactionOutcome::Committed { revision: w.store.store_revision },
+        _ => TransactionOutcome::Indeterminate,
+    };
+    w.leader.transaction_answered(w.now, id, outcome);
+}
+
+/// Limits are known to leaders in these orders, each to the next leader or to the same one: they
+/// fall twice, rise at a restart, and differ between leaders that take turns. With one operation per
+/// transaction every write of a chunk takes several transactions.
+const KNOWN_LIMITS: [&[(usize, usize)]; 4] = [
+    &[(2_048, 4), (1_024, 2), (512, 1)],
+    &[(1_024, 1), (8_192, 4), (2_048, 1), (512, 1)],
+    &[(2_048, 2), (512, 1), (2_048, 1), (512, 2), (1_024, 1)],
+    &[(512, 1), (1_536, 1), (700, 1), (2_048, 1), (600, 1)],
+];
+
+#[test]
+fn every_commit_keeps_all_placed_tasks_whatever_limits_the_leaders_know() {
+    let answers = [Answer::Arrives, Answer::LostAfterExecution, Answer::LostWithoutExecution];
+    for (known, answer) in KNOWN_LIMITS.iter().flat_map(|known| answers.map(|a| (known, a))) {
+        for leader_ends_after_each_write in [false, true] {
+            let mut w = world_with_machines(40);
+            w.submit_in_chunks(JOB, &spec(160), OLD_CHUNK_SIZE);
+            set_known_limits(&mut w, known[0]);
+            for _ in 0..20 {
+                w.settle();
+            }
+            assert_eq!(w.places().len(), 160);
+            for &limits in *known {
+                set_known_limits(&mut w, limits);
+                for (task, machines) in w.places().iter().step_by(37) {
+                    w.finish(&machines[0], task);
+                }
+                w.send_all_heartbeats();
+                w.wait(6_000);
+                write_all(&mut w, limits, answer, leader_ends_after_each_write);
+            }
+            w.run_to_completion();
+            assert_eq!(w.end(JOB), Some(&json!("done")));
+            assert_eq!(chunk_keys(&w).len(), 0);
+        }
+    }
+}
+
+/// Executes the leader's transactions until it has none left; every third answer may be lost. The
+/// world checks after each of them that a successor would know every placed task.
+fn write_all(w: &mut World, limits: (usize, usize), answer: Answer, leader_ends: bool) {
+    for written in 0..200 {
+        w.tick();
+        if !has_commit(w) {
+            w.wait(1_000);
+            w.tick();
+        }
+        if !has_commit(w) {
+            return;
+        }
+        let answer = if written % 3 == 0 { answer } else { Answer::Arrives };
+        answer_commit(w, answer);
+        if leader_ends {
+            assert_new_leader_knows_placed_tasks(w);
+            set_known_limits(w, limits);
+            w.wait(6_000);
+        } else if answer != Answer::Arrives {
+            w.settle();
+        }
+    }
+    panic!("the leader goes on writing");
+}
+
 /// A refusal for size is a certain outcome, so the refused starts must be planned again at once, in
 /// smaller transactions.
 #[test]
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -8,7 +8,7 @@
 
 use serde_json::{json, Value};
 use walnutlug_scheduler::command::{Command, MessageOutcome, ReadOutcome, TransactionOutcome};
-use walnutlug_scheduler::leadership::fencing_token::FencingToken;
+use walnutlug_scheduler::leadership::fencing_token::{FencingToken, Term};
 use walnutlug_scheduler::model::ids::{AgentEpoch, Attempt, MachineIndex};
 use walnutlug_scheduler::model::job_spec::{JobEnd, JobSpec, Priority};
 use walnutlug_scheduler::model::team::Team;
@@ -20,15 +20,18 @@
 use walnutlug_scheduler::queue::dependencies::JobEndLookup;
 use walnutlug_scheduler::reconciliation::heartbeats::HeartbeatAnswer;
 use walnutlug_scheduler::scheduler::Scheduler;
-use walnutlug_scheduler::storage::keys;
+use walnutlug_scheduler::storage::keys::{self, RunKey};
 use walnutlug_scheduler::storage::records::{chunk_size, description_record};
 use walnutlug_scheduler::storage::revision::Revision;
 use walnutlug_scheduler::storage::transactions::TransactionLimits;
 use walnutlug_scheduler::time::{TimeDelta, Timestamp};
 use walnutlug_scheduler::tunables::{Site, Tunables};
 
+use known_tasks::SentTask;
+
 #[path = "../transcripts/golden.rs"]
 pub mod golden;
+pub mod known_tasks;
 pub mod recorded_starts;
 pub mod transcript;
 
@@ -350,6 +353,10 @@
     /// The leader reaches neither the key-value store nor another node, so it learns of no
     /// cancellations.
     pub cut_off: bool,
+    /// Revision of the store for which it was last checked what a successor would know.
+    checked_revision: Revision,
+    /// Every start that a leader sent.
+    sent_tasks: BTreeSet<SentTask>,
 }
 
 impl World {
@@ -364,7 +371,16 @@
         let workers = machines.iter().map(|(n, z)| ((*n).to_owned(), Worker::new(n, z))).collect();
         let leader =
             Scheduler::new(Rc::new(site), Rc::new(Tunables::default()), term.into(), types(), now);
-        let mut world = World { now, store, workers, leader, commands: Vec::new(), cut_off: false };
+        let mut world = World {
+            now,
+            store,
+            workers,
+            leader,
+            commands: Vec::new(),
+            cut_off: false,
+            checked_revision: Revision::NONE,
+            sent_tasks: BTreeSet::new(),
+        };
         world.send_all_heartbeats();
         world.send_all_heartbeats();
         world
@@ -420,6 +436,8 @@
     fn take_commands(&mut self) {
         let commands = self.leader.take_commands();
         recorded_starts::assert_starts_are_recorded(&self.store, &self.leader, &commands);
+        self.sent_tasks.extend(known_tasks::sent_tasks(&self.leader, &commands));
+        self.assert_successor_knows_sent_tasks();
         transcript::commands(self.leader.term, &commands);
         self.commands.extend(commands);
     }
@@ -516,6 +534,7 @@
             match command {
                 Command::Commit { id, transaction } => {
                     let outcome = self.store.apply(&transaction);
+                    self.assert_successor_knows_sent_tasks();
                     self.leader.transaction_answered(self.now, id, outcome);
                 }
                 Command::SendToWorker { machine, token, agent_epoch, calls, .. } => {
@@ -585,18 +604,7 @@
     /// chunks.
     pub fn take_over_as(&mut self, previous_version: bool) -> Scheduler {
         let term = self.store.put(keys::LEADER, json!("next"));
-        let (site, tunables) = (self.leader.site.clone(), self.leader.tunables.clone());
-        let mut s = Scheduler::new(site, tunables, term.into(), types(), self.now);
-        for (key, (value, _)) in &self.store.keys {
-            if let Some(name) = keys::described_job(key) {
-                if !previous_version || key.starts_with(keys::TODO) {
-                    // Unreadable descriptions are skipped, as in the controller.
-                    let _ = s.add_job(self.now, name, value, self.wall_us());
-                }
-            }
-        }
-        let unreadable = s.load_chunks(self.now, &self.store.key_values(keys::RUN));
-        assert!(previous_version || unreadable.is_empty(), "{unreadable:?}");
+        let mut s = self.load_records(term.into(), previous_version, |_| true);
         if let Some((value_bytes, max_operations)) = self.store.limits {
             s.set_limits(TransactionLimits { value_bytes, operations: max_operations });
         }
@@ -612,6 +620,65 @@
         std::mem::replace(&mut self.leader, s)
     }
 
+    /// Returns a scheduler that has read the stored descriptions and tasks of the jobs, as a new
+    /// leader does.
+    fn load_records(
+        &self,
+        term: Term,
+        previous_version: bool,
+        reads_job: impl Fn(&str) -> bool,
+    ) -> Scheduler {
+        let (site, tunables) = (self.leader.site.clone(), self.leader.tunables.clone());
+        let mut s = Scheduler::new(site, tunables, term, types(), self.now);
+        for (key, (value, _)) in &self.store.keys {
+            if let Some(name) = keys::described_job(key) {
+                if reads_job(name) && (!previous_version || key.starts_with(keys::TODO)) {
+                    // Unreadable descriptions are skipped, as in the controller.
+                    let _ = s.add_job(self.now, name, value, self.wall_us());
+                }
+            }
+        }
+        let mut chunks = self.store.key_values(keys::RUN);
+        chunks.retain(|chunk| RunKey::parse(&chunk.key).is_none_or(|key| reads_job(key.job)));
+        let unreadable = s.load_chunks(self.now, &chunks);
+        assert!(previous_version || unreadable.is_empty(), "{unreadable:?}");
+        s
+    }
+
+    /// Asserts that a leader that took over now would know where each live task is, of the jobs
+    /// whose records changed since the last call. Tasks that a test put on a worker without a start
+    /// are not looked at.
+    fn assert_successor_knows_sent_tasks(&mut self) {
+        let since = std::mem::replace(&mut self.checked_revision, self.store.store_revision);
+        if since == self.store.store_revision {
+            return;
+        }
+        let mut sent = known_tasks::live_tasks(&self.workers);
+        sent.retain(|sent| self.sent_tasks.contains(sent));
+        self.assert_successor_knows(sent, since);
+    }
+
+    /// Asserts that a leader that took over now would know where each of these tasks is, of the
+    /// jobs whose records changed after the revision.
+    pub fn assert_successor_knows(&self, mut sent: BTreeSet<SentTask>, since: Revision) {
+        let mut jobs: BTreeSet<String> = sent.iter().map(|sent| sent.job().to_owned()).collect();
+        jobs.retain(|job| self.records_changed_since(job, since));
+        sent.retain(|sent| jobs.contains(sent.job()));
+        let successor = self.load_records(self.leader.term, false, |job| jobs.contains(job));
+        known_tasks::assert_known(&successor, &sent);
+    }
+
+    /// Returns whether the job's description is not stored, or one of its task records was written
+    /// after the revision.
+    fn records_changed_since(&self, job: &str, since: Revision) -> bool {
+        let records = format!("{}{job}/", keys::RUN);
+        let written = self.store.keys.range(records.clone()..);
+        let mut written = written.take_while(|(key, _)| key.starts_with(&records));
+        let described = [true, false].map(|chained| keys::description(job, chained));
+        !described.iter().any(|key| self.store.keys.contains_key(key))
+            || written.any(|(_, (_, revision))| *revision > since)
+    }
+
     /// Lets a live task exit successfully.
     pub fn finish(&mut self, machine: &str, task: &str) {
         let worker = self.workers.get_mut(machine).expect("a worker of that name");
