Deletion of parts by leaders that know other limits: a test

A path beside the shortened parts: the records of an ended job are deleted in as many transactions as the limits need, perhaps by leaders that know other limits than the one that wrote them. A job's records are deleted only when each of its tasks is proven off its machine, so no deletion takes a live task out of the store; the test ends the leader after each single operation. The placeholder revision of a deletion without effect no longer replaces a known one (no reader of it was affected).

--- a/crates/scheduler/src/storage/deletion.rs
+++ b/crates/scheduler/src/storage/deletion.rs
@@ -92,8 +92,10 @@
         let deleted = self.parts.into_iter().chain(chunks);
         for (chunk, part) in deleted.collect::<Vec<PartId>>() {
             let tasks = job.chunk_tasks(chunk);
-            let record = StoredRecord { tasks, revision: Revision::UNKNOWN };
-            job.chunks[chunk].records.insert(part, record);
+            let records = &mut job.chunks[chunk].records;
+            if records.revision(part) == Revision::NONE {
+                records.insert(part, StoredRecord { tasks, revision: Revision::UNKNOWN });
+            }
         }
     }
 }
--- a/crates/scheduler/tests/storage_limits.rs
+++ b/crates/scheduler/tests/storage_limits.rs
@@ -42,8 +42,8 @@
 fn assert_new_leader_knows_placed_tasks(w: &mut World) {
     let places = w.places();
     let former_leader = w.take_over();
-    let job_index = w.leader.cluster.jobs_by_name[JOB];
     for (task, machines) in places {
+        let job_index = w.leader.cluster.jobs_by_name[JOB];
         let index: usize = task.rsplit_once('/').and_then(|t| t.1.parse().ok()).expect("a task");
         let known = &w.leader.cluster.job(job_index).expect("job").tasks[index];
         assert!(
@@ -222,6 +222,41 @@
     panic!("the leader goes on writing");
 }
 
+/// The parts of an ended job are deleted one by one, by leaders that know higher limits than the one
+/// that wrote them and that end after each operation. What is left shows tasks as placed that ended
+/// long ago; the next heartbeats of their machines prove them absent.
+#[test]
+fn deletion_of_parts_is_completed_by_leaders_that_know_other_limits() {
+    let mut w = world_with_machines(40);
+    w.submit_in_chunks(JOB, &spec(160), OLD_CHUNK_SIZE);
+    set_known_limits(&mut w, LOWERED_LIMITS);
+    w.settle();
+    for (task, machines) in w.places() {
+        w.finish(&machines[0], &task);
+    }
+    w.send_all_heartbeats();
+    w.wait(6_000);
+    let mut deletions = 0;
+    for _ in 0..100 {
+        set_known_limits(&mut w, (8_192, 1));
+        w.tick();
+        if has_commit(&w) {
+            let before = chunk_keys(&w).len();
+            answer_commit(&mut w, Answer::Arrives);
+            deletions += usize::from(chunk_keys(&w).len() < before);
+            assert_new_leader_knows_placed_tasks(&mut w);
+        }
+        if w.end(JOB).is_some() {
+            let job = w.leader.cluster.jobs_by_name.get(JOB);
+            let job = job.and_then(|index| w.leader.cluster.job(*index));
+            assert_eq!(job.map_or(0, |job| job.placed), 0, "{:?}", chunk_keys(&w));
+        }
+        w.wait(1_000);
+    }
+    assert!(deletions > 2, "{deletions}");
+    assert!(!w.store.keys.contains_key(&keys::todo(JOB)), "{:?}", chunk_keys(&w));
+}
+
 /// A refusal for size is a certain outcome, so the refused starts must be planned again at once, in
 /// smaller transactions.
 #[test]
