A refusal lowers the size limits only if the transaction kept to them

What callers saw: after one fall of the store's limits a leader knew limits of a half or a quarter of the enforced ones for the life of its process; task records went into shorter and more parts, and submissions of that size got 400 there.

Cause: a refusal with 400 of a transaction that was sent before the first refusal arrived was taken for a further fall (`shrink_limits`).

Change: a refused transaction whose largest value, operations or compares exceed the limits known now was built for earlier ones, and its refusal changes nothing; its sender builds it anew. One that keeps to them shows that the store's are lower, as before. The log tells the two apart.

Test: `refusals_of_transactions_built_for_earlier_limits_do_not_lower_them_again`.

--- a/crates/controller/src/key_value_client.rs
+++ b/crates/controller/src/key_value_client.rs
@@ -32,7 +32,7 @@
 
 use crate::http::client::{Client, HttpError, Request, Response};
 use health::StoreHealth;
-use limits::{KnownLimits, LoweredBy};
+use limits::{KnownLimits, LoweredBy, TransactionSize};
 use rate_limiter::{RateLimiter, Rates, Tokens};
 
 /// Time limit for retrying a request that exceeds the request or write rate.
@@ -40,9 +40,7 @@
 /// Pause after a refusal for the rate, in milliseconds. It is random so that the nodes don't retry
 /// at the same time.
 const RATE_REFUSAL_PAUSE_MS: std::ops::Range<u64> = 40..160;
-/// Maximum number of compares in a transaction without operations: this many for each operation
-/// that the store accepts per transaction, up to [`MAX_COMPARES`].
-const COMPARES_PER_OPERATION: usize = 4;
+/// Maximum number of compares in a transaction without operations, even if the store accepts more.
 const MAX_COMPARES: usize = 200;
 /// Text in the store's answer to a put under a lease that has expired.
 const NO_SUCH_LEASE: &str = "no such lease";
@@ -102,7 +100,7 @@
 
     /// Returns the maximum number of compares in a transaction without operations.
     pub(crate) fn max_compares(&self) -> usize {
-        (self.limits().txn_ops * COMPARES_PER_OPERATION).min(MAX_COMPARES)
+        self.limits().compares().min(MAX_COMPARES)
     }
 
     /// Returns whether limits were announced and this process considers them to be in force.
@@ -124,8 +122,21 @@
     }
 
     /// Reduces the limits for values and transactions after a refusal for size. Such a refusal is
-    /// certain and would recur, so everything sent from now on has to be smaller.
-    fn shrink_limits(&self) {
+    /// certain and would recur, so everything sent from now on has to be smaller. A transaction that
+    /// exceeds the known limits was built before they were lowered, and its refusal shows nothing
+    /// new.
+    fn shrink_limits(&self, refused: TransactionSize, answer: &str) {
+        if refused.exceeds(self.limits()) {
+            tracing::info!(
+                %answer,
+                "key-value store refused a transaction that was built for its earlier limits"
+            );
+            return;
+        }
+        tracing::warn!(
+            %answer,
+            "key-value store refused a transaction with status 400: lowering the size limits"
+        );
         if self.limits.borrow().are_lowered() {
             self.limits.borrow_mut().halve();
         } else {
@@ -295,7 +306,7 @@
         let Ok(body) = serde_json::to_vec(transaction) else { return TransactionOutcome::Rejected };
         let request = StoreRequest::Commit { operations: transaction.operations.len() };
         match self.send(class, &request, &body).await {
-            Ok(response) => self.transaction_outcome(&response),
+            Ok(response) => self.transaction_outcome(transaction, &response),
             Err(KeyValueError::Rejected { .. } | KeyValueError::Expired { .. }) => {
                 TransactionOutcome::Rejected
             }
@@ -307,7 +318,11 @@
 
     /// Maps the answer to a transaction to its outcome. After an answer that can't be interpreted
     /// the transaction may have been executed.
-    fn transaction_outcome(&self, response: &Response) -> TransactionOutcome {
+    fn transaction_outcome(
+        &self,
+        transaction: &Transaction,
+        response: &Response,
+    ) -> TransactionOutcome {
         match response.status {
             200 => match serde_json::from_slice::<Committed>(&response.body) {
                 Ok(committed) => {
@@ -326,11 +341,7 @@
                 if answer.contains(NO_SUCH_LEASE) {
                     return TransactionOutcome::Rejected;
                 }
-                tracing::warn!(
-                    %answer,
-                    "key-value store refused a transaction with status 400: lowering the size limits"
-                );
-                self.shrink_limits();
+                self.shrink_limits(TransactionSize::of(transaction), &answer);
                 TransactionOutcome::TooLarge
             }
             _ => TransactionOutcome::Indeterminate,
--- a/crates/controller/src/key_value_client/limits.rs
+++ b/crates/controller/src/key_value_client/limits.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
+use walnutlug_scheduler::protocol::key_value::{Operation, Transaction};
 
 /// Limits of the key-value store, which are part of the platform's settings.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -18,7 +19,15 @@
     pub(crate) txn_ops: usize,
 }
 
+/// Number of compares that the store accepts for each operation that it accepts per transaction.
+const COMPARES_PER_OPERATION: usize = 4;
+
 impl Limits {
+    /// Returns the maximum number of compares in one transaction.
+    pub(super) fn compares(self) -> usize {
+        self.txn_ops * COMPARES_PER_OPERATION
+    }
+
     /// Returns the minimum of each limit.
     pub(crate) fn smaller_of_each(self, other: Limits) -> Limits {
         Limits {
@@ -30,6 +39,36 @@
     }
 }
 
+/// The sizes of a transaction that the store limits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct TransactionSize {
+    /// Size of the largest value, in bytes.
+    value_bytes: usize,
+    operations: usize,
+    compares: usize,
+}
+
+impl TransactionSize {
+    pub(super) fn of(transaction: &Transaction) -> TransactionSize {
+        let put_bytes = |operation: &Operation| match operation {
+            Operation::Put { value, .. } => value.size(),
+            Operation::Delete { .. } => 0,
+        };
+        TransactionSize {
+            value_bytes: transaction.operations.iter().map(put_bytes).max().unwrap_or(0),
+            operations: transaction.operations.len(),
+            compares: transaction.compares.len(),
+        }
+    }
+
+    /// Returns whether the transaction is larger than the limits allow.
+    pub(super) fn exceeds(self, limits: Limits) -> bool {
+        self.value_bytes > limits.value_bytes
+            || self.operations > limits.txn_ops
+            || self.compares > limits.compares()
+    }
+}
+
 /// Number of rate refusals within [`RATE_REFUSAL_WINDOW`] that show that the store has lowered the
 /// rate.
 const MIN_RATE_REFUSALS: u32 = 5;
--- a/crates/controller/src/key_value_client/tests.rs
+++ b/crates/controller/src/key_value_client/tests.rs
@@ -1,3 +1,5 @@
+use walnutlug_scheduler::protocol::key_value::{Compare, Operation};
+
 use super::limits::MIN_VALUE_BYTES;
 use super::*;
 
@@ -66,6 +68,34 @@
     assert!(store.limits_lowered() && store.limits() == announced);
 }
 
+/// Guards against limits far below those that the store enforces: transactions in flight that were
+/// built before the fall are refused as well, and each such refusal halved the known limits. Parts
+/// of task records became shorter, and new jobs were refused as too large.
+#[tokio::test(start_paused = true)]
+async fn refusals_of_transactions_built_for_earlier_limits_do_not_lower_them_again() {
+    let (_, announced) = limits();
+    let put = |bytes: usize, operations: usize| Transaction {
+        compares: Vec::new(),
+        operations: (0..operations)
+            .map(|key| Operation::put(format!("run/{key}"), "x".repeat(bytes)))
+            .collect(),
+    };
+    let store = client_with_statuses(&[400], Some(announced));
+    // The first refusal shows the fall. The other transactions exceed the limits known since then.
+    for transaction in [put(4_000, 1), put(4_000, 1), put(10, 11)] {
+        let outcome = store.commit(RequestClass::Dispatch, &transaction).await;
+        assert_eq!(outcome, TransactionOutcome::TooLarge);
+        assert_eq!(store.limits(), announced);
+    }
+    let compares = (0..41).map(|n| Compare { key: format!("end/{n}"), revision: Revision::NONE });
+    let comparing = Transaction { compares: compares.collect(), operations: Vec::new() };
+    let _ = store.commit(RequestClass::Poll, &comparing).await;
+    assert_eq!(store.limits(), announced);
+    // A transaction within the known limits shows that the store's are lower still.
+    let _ = store.commit(RequestClass::Dispatch, &put(1_000, 10)).await;
+    assert_eq!((store.limits().value_bytes, store.limits().txn_ops), (1_024, 5));
+}
+
 #[tokio::test(start_paused = true)]
 async fn only_a_burst_of_rate_refusals_lowers_the_limits() {
     let (configured, announced) = limits();
