A repeated submission is looked up before its description counts as too large

Cause: `write_and_wait` judged the description under the limit known now, before the store was asked whether the job is accepted. A lost answer leads to the same at one node: the write took effect, the limits fell, and the repetition was judged under the new ones.

Change: as for jobs that can never run, a description that is too large is refused only if the store holds no acceptance of the job; while that can't be read, the answer is 503. For jobs that were never accepted nothing changes but one read.

Test: `submission_too_large_to_store_is_refused_unless_it_was_accepted_before`.

--- a/crates/controller/src/user_api/fake_cluster.rs
+++ b/crates/controller/src/user_api/fake_cluster.rs
@@ -117,7 +117,12 @@
 
     /// Creates a node without peers that uses this store and knows one machine type.
     pub(crate) fn node(&self) -> Rc<Node> {
-        self.build_node(&sample(), Vec::new())
+        self.node_with(&sample())
+    }
+
+    /// Like [`FakeStore::node`], with these settings.
+    pub(crate) fn node_with(&self, settings: &Value) -> Rc<Node> {
+        self.build_node(settings, Vec::new())
     }
 
     /// Creates `n` nodes that use this store. The test delivers the frames between them.
--- a/crates/controller/src/user_api/submission.rs
+++ b/crates/controller/src/user_api/submission.rs
@@ -124,7 +124,7 @@
         return answer_repeated_submission(node, name).await;
     }
     if let Some(reason) = unrunnable(node, &name, &spec)? {
-        return refuse_unless_accepted(node, name, reason).await;
+        return refuse_unless_accepted(node, name, reason.into()).await;
     }
     if node.key_value.is_down() {
         return Err(SubmissionError::StoreUnreachable);
@@ -136,12 +136,16 @@
             Dependencies::Cancelled => is_cancelled = true,
             Dependencies::Missing(dependency) => {
                 let reason = Unrunnable::UnknownDependency(dependency);
-                return refuse_unless_accepted(node, name, reason).await;
+                return refuse_unless_accepted(node, name, reason.into()).await;
             }
             Dependencies::Unknown => return Err(SubmissionError::DependenciesUnknown),
         }
     }
-    let outcome = write_and_wait(node, &name, spec, is_cancelled, started).await?;
+    let description = match encode_description(node, &spec) {
+        Ok(description) => description,
+        Err(reason) => return refuse_unless_accepted(node, name, reason).await,
+    };
+    let outcome = write_and_wait(node, &name, spec, description, is_cancelled, started).await?;
     match outcome {
         WriteOutcome::Written => {
             let stage = node.user_api.known_jobs.end(&name).map_or(JobStage::Queued, stage_of_end);
@@ -156,15 +160,15 @@
 ///
 /// # Errors
 ///
-/// If the description is too long, or the queue too long to write it in time. It is then not queued.
+/// If the queue is too long to write it in time. It is then not queued.
 async fn write_and_wait(
     node: &Rc<Node>,
     name: &str,
     spec: JobSpec,
+    description: Document,
     is_cancelled: bool,
     started: Instant,
 ) -> Result<WriteOutcome, SubmissionError> {
-    let description = encode_description(node, &spec)?;
     let lane = node.tunables.shared_order.then(|| (spec.team.clone(), spec.priority));
     // If the queue can't be written in time, refuse at once and say when to retry.
     let queued_ahead = node.user_api.submissions.ahead_of(&lane);
@@ -191,7 +195,12 @@
     Ok(outcome.unwrap_or(WriteOutcome::Indeterminate))
 }
 
-/// Encodes the job description for storage, within the store's value size limit.
+/// Encodes the job description for storage.
+///
+/// # Errors
+///
+/// If it exceeds the store's value size limit as this node knows it now. Another node may have
+/// accepted the job under a higher one.
 fn encode_description(node: &Node, spec: &JobSpec) -> Result<Document, SubmissionError> {
     let site_limit = node.settings.site.value_bytes;
     let chunk = chunk_size(site_limit);
@@ -223,12 +232,12 @@
         .or_else(|| depends_on_itself.then(|| Unrunnable::DependsOnItself(name.to_owned()))))
 }
 
-/// Refuses a job that can never run, unless it was accepted earlier: an accepted job is never refused,
-/// even if teams or machine types have changed since.
+/// Refuses a job that can never run or be stored, unless it was accepted earlier: an accepted job is
+/// never refused, even if teams, machine types or the store's limits have changed since.
 async fn refuse_unless_accepted(
     node: &Rc<Node>,
     name: String,
-    reason: Unrunnable,
+    reason: SubmissionError,
 ) -> Result<Accepted, SubmissionError> {
     if node.key_value.is_down() {
         return Err(SubmissionError::StoreUnreachable);
@@ -236,7 +245,7 @@
     let accepted = node.key_value.get(RequestClass::Submission, &keys::job(&name)).await?;
     if accepted.is_none() {
         info!(job = %name, %reason, "submission refused: the job can never run");
-        return Err(reason.into());
+        return Err(reason);
     }
     node.user_api.known_jobs.record_accepted(&name);
     answer_repeated_submission(node, name).await
--- a/crates/controller/src/user_api/tests.rs
+++ b/crates/controller/src/user_api/tests.rs
@@ -14,6 +14,7 @@
     InvalidResponse, KeyValueError, Rejection, StoreRequest, UnknownOutcome,
 };
 use crate::node::Node;
+use crate::settings::tests::sample;
 
 const JOB: &str = "req-000412";
 
@@ -346,6 +347,33 @@
     LocalSet::new().run_until(scenario).await;
 }
 
+/// Guards against `forgotten`: a node whose known limits had fallen refused the repeated submission of
+/// a job that another node had accepted under higher ones.
+#[tokio::test(start_paused = true)]
+async fn submission_too_large_to_store_is_refused_unless_it_was_accepted_before() {
+    let store = FakeStore::default();
+    let mut settings = sample();
+    let node = store.node_with(&settings);
+    settings["facts"]["state"]["value_kb"] = json!(1.0);
+    let with_lower_limits = store.node_with(&settings);
+    let scenario = async {
+        let mut body = submission();
+        let other_types = (0..60).map(|n| format!("a-machine-type-{n:06}"));
+        body["breeds"] = std::iter::once("t8".to_owned()).chain(other_types).collect();
+        assert_eq!(send(&with_lower_limits, &body).await.0, 400);
+        assert_eq!(send(&node, &body).await.0, 201);
+        assert_eq!(send(&with_lower_limits, &body).await.0, 200, "the job is accepted");
+        store.put(&keys::end(JOB), json!("done"));
+        let restarted = store.node_with(&settings);
+        let (status, answer) = send(&restarted, &body).await;
+        assert_eq!((status, &answer["stage"]), (200, &json!("done")));
+        store.fault(Fault::Down);
+        let restarted = store.node_with(&settings);
+        assert_eq!(send(&restarted, &body).await.0, 503, "whether it is accepted is not known");
+    };
+    LocalSet::new().run_until(scenario).await;
+}
+
 /// Users' scripts may match these texts, so they stay fixed and the store's own errors are not exposed.
 #[test]
 fn store_errors_map_to_fixed_user_facing_texts() {
