A write that became too large after a lost answer ends the term unless it took effect

What callers saw: nothing yet; found by the random interleavings while they were extended for the shortened parts.

Cause: when the copy of a write whose answer was lost is refused for its size, the chunk is read; if it was unchanged, the write counted as never executed, and smaller records were written in its place. But a request without an answer may be executed later (PROTOCOL, "No response"). If the store had judged its size when it received it, before the limits fell, it was executed after the records that replaced it: nothing that it compares had changed, since parts leave the whole chunk's key alone.

Change: if the read doesn't show that the write took effect, the leader steps down. Every copy compares the leader key, so none is executed in another term, and the next leader reads what is stored. It costs one election when an answer is lost in the moment in which the limits fall. Job ends and deletions are final, so for them nothing changes.

Tests: `late_copy_of_a_transaction_that_became_too_large_changes_nothing` (before: committed), and in the random interleavings late copies are judged by the limits of the time of sending.

--- a/crates/scheduler/src/command.rs
+++ b/crates/scheduler/src/command.rs
@@ -125,6 +125,9 @@
     /// A chunk holds tasks that this leader did not write, so its state in memory differs from the
     /// stored state.
     UnexpectedChunk,
+    /// A transaction whose answer was lost exceeds the store's lowered limits. It can't be resent, and
+    /// its earlier copy may still be executed while this node leads.
+    UnsettledTransaction,
 }
 
 impl fmt::Display for StepDownReason {
@@ -132,6 +135,9 @@
         f.write_str(match self {
             StepDownReason::LeaderKeyTaken => "another node holds the leader key",
             StepDownReason::UnexpectedChunk => "a stored chunk differs from the registry",
+            StepDownReason::UnsettledTransaction => {
+                "a write without an answer can't be repeated within the key-value store's limits"
+            }
         })
     }
 }
--- a/crates/scheduler/src/storage/in_flight.rs
+++ b/crates/scheduler/src/storage/in_flight.rs
@@ -7,12 +7,12 @@
 //!    +----------------------------------------------------------------------------+
 //! ```
 //!
-//! The tracking ends when the transaction is committed, or certainly not executed now or later.
+//! The tracking ends when the transaction is committed, or certainly not executed now or later, or
+//! when the leader steps down, which makes any copy fail.
 
 use crate::protocol::key_value::{Operation, Transaction};
 use crate::storage::batch::Batch;
 use crate::storage::keys;
-use crate::storage::revision::Revision;
 use crate::time::Timestamp;
 
 /// What the transaction is waiting for.
@@ -33,8 +33,8 @@
     NotExecuted,
     /// At least one answer was lost, so a conflict may be with an earlier copy of this transaction.
     Indeterminate,
-    /// An earlier copy may have taken effect, but the transaction now exceeds the service's limits,
-    /// so no copy will take effect from now on.
+    /// An earlier copy may have taken effect, or may still do so, and the transaction can't be resent
+    /// because it exceeds the service's limits.
     IndeterminateAndTooLarge,
 }
 
@@ -78,8 +78,8 @@
         }
     }
 
-    /// Registers that the service's limits fell below the size of the transaction: no copy will be
-    /// executed from now on, but an earlier one may have been.
+    /// Registers that the service's limits fell below the size of the transaction, while an earlier
+    /// copy may have been executed, or may still be.
     pub(crate) fn became_too_large(&mut self) {
         self.earlier_copies = EarlierCopies::IndeterminateAndTooLarge;
     }
@@ -94,8 +94,7 @@
         self.earlier_copies != EarlierCopies::NotExecuted
     }
 
-    /// Returns whether the transaction exceeds the service's limits, so that no copy can take
-    /// effect from now on.
+    /// Returns whether the transaction exceeds the service's limits and so can't be resent.
     pub(crate) fn is_too_large(&self) -> bool {
         self.earlier_copies == EarlierCopies::IndeterminateAndTooLarge
     }
@@ -118,12 +117,6 @@
         })
     }
 
-    /// Returns whether the transaction requires this revision of any chunk or part.
-    pub(crate) fn expects_revision(&self, revision: Revision) -> bool {
-        let compares = &self.batch.transaction().compares;
-        compares.iter().any(|c| c.key.starts_with(keys::RUN) && c.revision == revision)
-    }
-
     /// Returns the batch once the outcome is certain.
     pub(crate) fn into_batch(self) -> Batch {
         self.batch
--- a/crates/scheduler/src/storage/transactions.rs
+++ b/crates/scheduler/src/storage/transactions.rs
@@ -323,9 +323,9 @@
         Resolution::Committed { batch: transaction.into_batch(), revision }
     }
 
-    /// Handles a transaction that exceeds the service's lowered limits. Neither this copy nor an
-    /// earlier one can still be executed, but an earlier one may have been executed before the
-    /// limits were lowered.
+    /// Handles a transaction that exceeds the service's lowered limits. This copy was not executed,
+    /// but an earlier one may have been before the limits were lowered. The service may also have
+    /// accepted it before and execute it later.
     fn too_large(&mut self, id: u64, mut transaction: InFlightTransaction) -> Resolution {
         let key = transaction.first_chunk_key().map(str::to_owned);
         match key {
@@ -333,8 +333,8 @@
                 transaction.became_too_large();
                 self.start_read_back(id, transaction, key, Vec::new())
             }
-            // If a job end or a deletion took effect but its answer was lost, the next attempt
-            // finds that out.
+            // If a job end or a deletion took effect, or still does, the next attempt finds that out:
+            // both are final, so a late copy changes nothing.
             _ => Resolution::not_executed(transaction),
         }
     }
@@ -372,14 +372,15 @@
         if records::was_written_by(value, transaction.nonce()) {
             return self.committed(transaction, revision);
         }
-        if transaction.is_too_large() && transaction.expects_revision(revision) {
-            return Resolution::not_executed(transaction);
-        }
         // In this term only this leader writes chunks, so an unexpected value means that the state
         // in memory differs from the stored state. Reading all records again in a new term is the
-        // safe response.
-        let (batch, reason) = (transaction.into_batch(), StepDownReason::UnexpectedChunk);
-        Resolution::StepDown { batch, reason }
+        // safe response. So it is if an earlier copy could be executed after the records that
+        // replace it: no copy is executed in another term.
+        let reason = match transaction.is_too_large() {
+            true => StepDownReason::UnsettledTransaction,
+            false => StepDownReason::UnexpectedChunk,
+        };
+        Resolution::StepDown { batch: transaction.into_batch(), reason }
     }
 }
 
--- a/crates/scheduler/src/storage/transactions/tests.rs
+++ b/crates/scheduler/src/storage/transactions/tests.rs
@@ -90,6 +90,20 @@
     }
 }
 
+/// A job's end is final, so a late copy of its write changes nothing.
+#[test]
+fn job_end_that_became_too_large_after_a_lost_answer_is_written_anew() {
+    let now = Timestamp(1 << 40);
+    for is_lost in [false, true] {
+        let (mut transactions, id) = send_in_new_term(batch_with_job_end());
+        if is_lost {
+            let _ = transactions.answered(now, id, TransactionOutcome::Indeterminate);
+        }
+        let resolution = transactions.answered(now, id, TransactionOutcome::TooLarge);
+        assert!(matches!(resolution, Resolution::NotExecuted { .. }), "{resolution:?}");
+    }
+}
+
 #[test]
 fn conflict_on_a_chunk_is_resolved_by_reading_the_chunk() {
     let now = Timestamp(1 << 40);
--- a/crates/scheduler/tests/random_interleavings.rs
+++ b/crates/scheduler/tests/random_interleavings.rs
@@ -158,10 +158,13 @@
         self.set_known_limits(term, known + 1);
     }
 
-    /// Executes a transaction and checks what a successor would know then.
-    fn apply(&mut self, term: Term, transaction: &Transaction) -> TransactionOutcome {
+    /// Executes a transaction and checks what a successor would know then. The store judged the size
+    /// of a late copy when it received it, perhaps by higher limits.
+    fn apply(&mut self, term: Term, transaction: &Transaction, late: bool) -> TransactionOutcome {
         let before = self.w.store.store_revision;
+        let limits = self.w.store.limits.take_if(|_| late);
         let outcome = self.w.store.apply(transaction);
+        self.w.store.limits = limits.or(self.w.store.limits);
         match &outcome {
             TransactionOutcome::Committed { .. } => {
                 self.w.assert_successor_knows(self.tasks_not_ended(), before);
@@ -172,7 +175,8 @@
         outcome
     }
 
-    /// Returns the sent tasks that are live, or that a message in flight can still start.
+    /// Returns the sent tasks that are live, or that a message in flight can still start. A task that
+    /// completed has ended, even if a worker that forgot it is sent a copy of its start.
     fn tasks_not_ended(&self) -> BTreeSet<SentTask> {
         let mut tasks = known_tasks::live_tasks(&self.w.workers);
         for message in &self.pending {
@@ -181,7 +185,7 @@
                 tasks.extend(known_tasks::startable_tasks(worker, *token, *agent_epoch, calls));
             }
         }
-        tasks.retain(|task| self.sent_tasks.contains(task));
+        tasks.retain(|task| self.sent_tasks.contains(task) && !self.completed.contains(&task.task));
         tasks
     }
 
@@ -229,7 +233,20 @@
         let (term, commands) = (s.term, s.take_commands());
         assert_starts_are_recorded(&self.w.store, s, &commands);
         self.sent_tasks.extend(known_tasks::sent_tasks(s, &commands));
+        let steps_down = commands.iter().any(|c| matches!(c, Command::StepDown(_)));
         self.enqueue(term, commands);
+        if steps_down {
+            self.end_term(term);
+        }
+    }
+
+    /// Ends the term of a leader that steps down; another one takes over if it was the current one.
+    fn end_term(&mut self, term: Term) {
+        if self.w.leader.term == term {
+            self.w.take_over();
+            self.set_known_limits(self.w.leader.term, self.store_limits);
+        }
+        self.old_leaders.retain(|leader| leader.term != term);
     }
 
     /// Takes a message in flight and executes, loses, repeats or rejects it, as `fate` says.
@@ -241,14 +258,15 @@
         let at = pick % self.pending.len();
         match self.pending.swap_remove(at) {
             Message::Commit(term, id, transaction) => {
+                let late = id.is_none();
                 let (outcome, copy) = match fate % 6 {
                     0 => (TransactionOutcome::Indeterminate, true),
                     1 => {
-                        self.apply(term, &transaction);
+                        self.apply(term, &transaction, late);
                         (TransactionOutcome::Indeterminate, false)
                     }
                     2 => (TransactionOutcome::Rejected, false),
-                    _ => (self.apply(term, &transaction), false),
+                    _ => (self.apply(term, &transaction, late), false),
                 };
                 if copy {
                     self.pending.push(Message::Commit(term, None, transaction));
--- a/crates/scheduler/tests/storage_limits.rs
+++ b/crates/scheduler/tests/storage_limits.rs
@@ -11,6 +11,7 @@
 use walnutlug_scheduler::model::ids::Attempt;
 use walnutlug_scheduler::model::job_spec::JobSpec;
 use walnutlug_scheduler::model::task::TaskPhase;
+use walnutlug_scheduler::protocol::key_value::Transaction;
 use walnutlug_scheduler::storage::keys;
 use walnutlug_scheduler::storage::transactions::TransactionLimits;
 use world::{spec, World};
@@ -276,43 +277,78 @@
     assert_eq!(w.end(JOB), Some(&json!("done")));
 }
 
+/// Lets the answer to the first write of [`JOB`] be lost and the limits fall, so that the resent
+/// copy is refused. Returns the transaction.
+fn lose_answer_before_limits_fall(w: &mut World, is_executed: bool) -> Transaction {
+    w.submit_in_chunks(JOB, &spec(160), OLD_CHUNK_SIZE);
+    w.tick();
+    let (id, transaction) = w.take_commit();
+    if is_executed {
+        w.store.apply(&transaction);
+    }
+    w.leader.transaction_answered(w.now, id, TransactionOutcome::Indeterminate);
+    lower_limits(w);
+    w.wait(1_000);
+    w.tick();
+    let (id, transaction) = w.take_commit();
+    let outcome = w.store.apply(&transaction);
+    assert_eq!(outcome, TransactionOutcome::TooLarge);
+    w.leader.transaction_answered(w.now, id, outcome);
+    w.tick();
+    transaction
+}
+
+fn steps_down(w: &World) -> bool {
+    w.commands.iter().any(|command| matches!(command, Command::StepDown(_)))
+}
+
+/// Asserts that each task of [`JOB`] is placed under its first attempt, and completes the job.
+fn assert_first_attempts_complete(mut w: World) {
+    w.settle();
+    assert_eq!(w.places().len(), 160);
+    let job_index = w.leader.cluster.jobs_by_name[JOB];
+    let attempts = w.leader.cluster.job(job_index).expect("job").tasks.iter().map(|t| t.attempt);
+    assert_eq!(attempts.max(), Some(Attempt(1)));
+    w.run_to_completion();
+    assert_eq!(w.end(JOB), Some(&json!("done")));
+}
+
 /// The first copy of a transaction may have been committed although its answer was lost, and then
 /// the limits were lowered. The refusal of the second copy for its size says nothing about the
-/// first, so only reading the chunk resolves the outcome.
+/// first, so the chunk is read.
 #[test]
 fn refusal_for_size_after_a_lost_answer_is_resolved_by_reading_the_chunk() {
-    for applied in [true, false] {
-        let mut w = world_with_machines(40);
-        w.submit_in_chunks(JOB, &spec(160), OLD_CHUNK_SIZE);
-        w.tick();
-        let (id, transaction) = w.take_commit();
-        if applied {
-            w.store.apply(&transaction);
-        }
-        w.leader.transaction_answered(w.now, id, TransactionOutcome::Indeterminate);
-        lower_limits(&mut w);
-        w.wait(1_000);
-        w.tick();
-        let (id, transaction) = w.take_commit();
-        let outcome = w.store.apply(&transaction);
-        assert_eq!(outcome, TransactionOutcome::TooLarge);
-        w.leader.transaction_answered(w.now, id, outcome);
-        w.tick();
-        let sends_commands =
-            |c: &Command| matches!(c, Command::SendToWorker { calls, .. } if !calls.is_empty());
-        assert!(
-            !w.commands.iter().any(sends_commands),
-            "commands were sent before the chunk was read"
-        );
-        w.settle();
-        assert_eq!(w.places().len(), 160, "applied: {applied}");
-        let job_index = w.leader.cluster.jobs_by_name[JOB];
-        let attempts =
-            w.leader.cluster.job(job_index).expect("job").tasks.iter().map(|t| t.attempt);
-        assert_eq!(attempts.max(), Some(Attempt(1)), "applied: {applied}");
-        w.run_to_completion();
-        assert_eq!(w.end(JOB), Some(&json!("done")));
+    let mut w = world_with_machines(40);
+    lose_answer_before_limits_fall(&mut w, true);
+    let sends_commands =
+        |c: &Command| matches!(c, Command::SendToWorker { calls, .. } if !calls.is_empty());
+    assert!(!w.commands.iter().any(sends_commands), "commands were sent before the chunk was read");
+    w.settle();
+    assert!(!steps_down(&w));
+    assert_first_attempts_complete(w);
+}
+
+/// Guards against `ran_twice` after a failover: the store had accepted the first copy before its
+/// limits fell, and executed it after the records that replaced it. The term ends instead, so that
+/// no copy can be executed any more.
+#[test]
+fn late_copy_of_a_transaction_that_became_too_large_changes_nothing() {
+    let mut w = world_with_machines(40);
+    let transaction = lose_answer_before_limits_fall(&mut w, false);
+    w.execute_commands();
+    w.tick();
+    if steps_down(&w) {
+        w.take_over();
+        w.send_all_heartbeats();
+        w.send_all_heartbeats();
     }
+    w.settle();
+    let limits = w.store.limits.take();
+    let outcome = w.store.apply(&transaction);
+    w.store.limits = limits;
+    assert!(matches!(outcome, TransactionOutcome::Conflict { .. }), "{outcome:?}");
+    assert_new_leader_knows_placed_tasks(&mut w);
+    assert_first_attempts_complete(w);
 }
 
 #[test]
