--- a/crates/scheduler/tests/random_interleavings.rs
+++ b/crates/scheduler/tests/random_interleavings.rs
@@ -3,7 +3,8 @@
 //! In every order a task must be live on at most one machine, a job's stored end must never change,
 //! and after every commit a successor must know where each task is that was sent and has not ended,
 //! whatever limits of the store its leaders know. The seed is fixed, so each run tests the same
-//! cases.
+//! cases; `INTERLEAVING_SEED` and `INTERLEAVING_CASES` replace the seed and the number of cases for a
+//! longer run by hand.
 
 mod world;
 
@@ -504,10 +505,18 @@
     }
 }
 
-fn config() -> Config {
+/// Returns the number in the environment variable, or the default if it isn't set.
+fn from_environment(variable: &str, default: u64) -> u64 {
+    match std::env::var(variable) {
+        Ok(text) => text.parse().unwrap_or_else(|error| panic!("{variable}: {error}")),
+        Err(_) => default,
+    }
+}
+
+fn config(cases: u64) -> Config {
     Config {
-        cases: 400,
-        rng_seed: RngSeed::Fixed(7),
+        cases: from_environment("INTERLEAVING_CASES", cases) as u32,
+        rng_seed: RngSeed::Fixed(from_environment("INTERLEAVING_SEED", 7)),
         failure_persistence: None,
         max_shrink_iters: 2_000,
         ..Config::default()
@@ -515,7 +524,7 @@
 }
 
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(config(4_000))]
 
     #[test]
     fn tasks_are_live_on_at_most_one_machine_and_job_ends_never_change(
@@ -593,7 +602,7 @@
 }
 
 proptest! {
-    #![proptest_config(Config { cases: 150, ..config() })]
+    #![proptest_config(config(1_500))]
 
     #[test]
     fn every_accepted_job_ends_after_the_faults_stop(
