Rate refusals lower the rates and leave the size limits as they are

What callers saw: nothing yet; found on a path beside the shortened parts. During an upgrade the nodes of both versions together can exceed the rate. After five refusals within ten seconds a new node took all announced limits for enforced. As the leader it then wrote records above the announced size in parts, which the production version passes over: it would take the older chunk for the truth, and tasks placed since would be unknown to it (`ran_twice`).

Cause: one flag for rates and sizes, though they have different proofs.

Change: refusals for the rate lower `rps` and `write_rps` only. The size limits are lowered by a refusal for size, or by a peer that reports them, which it does only after one. Until then records are written whole, and where the store's limits have fallen, the first refusal shows it.

Test: `only_a_burst_of_rate_refusals_lowers_the_rates_and_no_size_limit`, in place of the test that expected all announced limits after such a burst; what it checked of the rates stays, and that a refusal for size or a peer lowers the rest is checked as well.

--- a/crates/controller/src/key_value_client.rs
+++ b/crates/controller/src/key_value_client.rs
@@ -103,7 +103,7 @@
         self.limits().compares().min(MAX_COMPARES)
     }
 
-    /// Returns whether limits were announced and this process considers them to be in force.
+    /// Returns whether limits were announced and this process considers all of them to be in force.
     pub(crate) fn limits_lowered(&self) -> bool {
         self.limits.borrow().announced_are_in_force()
     }
--- a/crates/controller/src/key_value_client/limits.rs
+++ b/crates/controller/src/key_value_client/limits.rs
@@ -77,14 +77,15 @@
 /// refused.
 pub(super) const MIN_VALUE_BYTES: usize = 512;
 
-/// Evidence from which this node learned that the announced limits are in force.
+/// Evidence from which this node learned that announced limits are in force.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum LoweredBy {
     /// The store refused a transaction for its size.
     SizeRefusal,
-    /// The store refused [`MIN_RATE_REFUSALS`] requests for the rate.
+    /// The store refused [`MIN_RATE_REFUSALS`] requests for the rate. The nodes of two versions
+    /// together may exceed the rate too, so this shows nothing about the limits for sizes.
     RateRefusals,
-    /// Another node reported the lower limits.
+    /// Another node reported the lower limits, of which it has had a refusal for size.
     Peer,
 }
 
@@ -96,6 +97,11 @@
             LoweredBy::Peer => "peer",
         }
     }
+
+    /// Returns whether the limits for values and transactions are in force, and not just the rates.
+    fn shows_sizes(self) -> bool {
+        self != LoweredBy::RateRefusals
+    }
 }
 
 /// Number of rate refusals, counted from the first one in the current window.
@@ -113,8 +119,11 @@
     announced: Limits,
     /// Set if limits were announced that are lower than the configured ones.
     lowering_announced: bool,
-    /// Whether the announced limits are in force, as far as this node knows.
-    lowered: bool,
+    /// Whether the announced rates are in force, as far as this node knows.
+    rates_lowered: bool,
+    /// Whether all announced limits are in force, as far as this node knows. Until then records are
+    /// written whole: the production version doesn't read the parts of those that are too large.
+    sizes_lowered: bool,
     rate_refusals: RateRefusals,
 }
 
@@ -127,7 +136,8 @@
             current: Limits { txn_ops: announced.txn_ops, ..configured },
             announced,
             lowering_announced: announced != configured,
-            lowered: announced == configured,
+            rates_lowered: announced == configured,
+            sizes_lowered: announced == configured,
             rate_refusals: RateRefusals { count: 0, since: now },
         }
     }
@@ -136,22 +146,27 @@
         self.current
     }
 
-    /// Returns whether the announced limits are in force, or none were announced.
+    /// Returns whether all announced limits are in force, or none were announced.
     pub(super) fn are_lowered(&self) -> bool {
-        self.lowered
+        self.sizes_lowered
     }
 
-    /// Returns whether limits were announced and are in force, as far as this node knows.
+    /// Returns whether limits were announced and are all in force, as far as this node knows.
     pub(super) fn announced_are_in_force(&self) -> bool {
-        self.lowered && self.lowering_announced
+        self.sizes_lowered && self.lowering_announced
     }
 
-    /// Switches to the announced limits, which the store now enforces. They hold for the rest of
-    /// the life of this process.
+    /// Switches to the announced limits that the store now enforces. They hold for the rest of the
+    /// life of this process.
     pub(super) fn lower(&mut self, by: LoweredBy) {
-        let limits = self.announced;
-        self.lowered = true;
-        self.current = limits;
+        self.rates_lowered = true;
+        self.sizes_lowered |= by.shows_sizes();
+        let Limits { rps, write_rps, .. } = self.announced;
+        self.current = match self.sizes_lowered {
+            true => self.announced,
+            false => Limits { rps, write_rps, ..self.current },
+        };
+        let limits = self.current;
         tracing::warn!(
             value_bytes = limits.value_bytes,
             txn_ops = limits.txn_ops,
@@ -182,7 +197,7 @@
     /// while every node keeps to its share, show that the store has lowered the rate. Returns
     /// whether that is the case.
     pub(super) fn record_rate_refusal(&mut self, now: Instant) -> bool {
-        if self.lowered {
+        if self.rates_lowered {
             return false;
         }
         let RateRefusals { count, since } = self.rate_refusals;
--- a/crates/controller/src/key_value_client/tests.rs
+++ b/crates/controller/src/key_value_client/tests.rs
@@ -96,8 +96,11 @@
     assert_eq!((store.limits().value_bytes, store.limits().txn_ops), (1_024, 5));
 }
 
+/// Guards against `ran_twice` during an upgrade: the nodes of both versions together exceeded the rate,
+/// a new leader took the announced size limits for enforced too and wrote a large record in parts, which
+/// the production version doesn't read.
 #[tokio::test(start_paused = true)]
-async fn only_a_burst_of_rate_refusals_lowers_the_limits() {
+async fn only_a_burst_of_rate_refusals_lowers_the_rates_and_no_size_limit() {
     let (configured, announced) = limits();
     let store = client_with_statuses(&[429, 200, 429, 200, 429, 200], Some(announced));
     for _ in 0..3 {
@@ -106,7 +109,15 @@
     assert_eq!(store.limits().write_rps, configured.write_rps);
     let store = client_with_statuses(&[429, 429, 429, 429, 429, 200], Some(announced));
     let _ = store.commit(RequestClass::Dispatch, &Transaction::default()).await;
-    assert_eq!(store.limits(), announced);
+    let Limits { value_bytes, .. } = configured;
+    assert_eq!(store.limits(), Limits { value_bytes, ..announced });
+    assert!(!store.limits_lowered(), "must not be reported to other nodes");
+    // A refusal for size, or another node that has had one, lowers the sizes as well.
+    store.learn_limits_lowered();
+    assert!(store.limits_lowered() && store.limits() == announced);
+    let store = client_with_statuses(&[429, 429, 429, 429, 429, 400], Some(announced));
+    let _ = store.commit(RequestClass::Dispatch, &Transaction::default()).await;
+    assert!(store.limits_lowered() && store.limits() == announced);
 }
 
 /// The store answers 400 to a put under an expired lease, which is not a refusal for size.
