Scheduler tests: store and worker in files of their own, one function a kind of message

The scripted cluster's file had grown to 730 lines, and the random interleavings handed out all kinds of messages in one function of 130.

--- a/crates/scheduler/tests/random_interleavings.rs
+++ b/crates/scheduler/tests/random_interleavings.rs
@@ -35,19 +35,30 @@
     Read(Term, u64, String),
     /// A leader's request for the ends of these jobs.
     JobEnds(Term, Vec<String>),
-    /// Commands to the worker with that name, from the leader of that term.
-    WorkerCommands {
-        term: Term,
-        /// Whether the leader still waits for the response.
-        awaits_response: bool,
-        name: String,
-        token: FencingToken,
-        agent_epoch: AgentEpoch,
-        calls: Vec<WorkerCommand>,
-    },
+    WorkerCommands(WorkerMessage),
     Heartbeat(Heartbeat),
 }
 
+/// Commands to the worker with that name, from the leader of that term.
+struct WorkerMessage {
+    term: Term,
+    /// Whether the leader still waits for the response.
+    awaits_response: bool,
+    name: String,
+    token: FencingToken,
+    agent_epoch: AgentEpoch,
+    calls: Vec<WorkerCommand>,
+}
+
+impl WorkerMessage {
+    /// Returns a copy whose response nobody awaits.
+    fn duplicate(&self) -> WorkerMessage {
+        let WorkerMessage { term, token, agent_epoch, .. } = *self;
+        let (name, calls) = (self.name.clone(), self.calls.clone());
+        WorkerMessage { term, awaits_response: false, name, token, agent_epoch, calls }
+    }
+}
+
 /// Limits of the key-value store, from high to low: largest value in bytes and most operations per
 /// transaction. With all tasks placed, a chunk written by the previous version exceeds the second
 /// and the following ones, which hold parts of five, four, three, two and one tasks.
@@ -185,7 +196,10 @@
     fn tasks_not_ended(&self) -> BTreeSet<SentTask> {
         let mut tasks = known_tasks::live_tasks(&self.w.workers);
         for message in &self.pending {
-            if let Message::WorkerCommands { name, token, agent_epoch, calls, .. } = message {
+            if let Message::WorkerCommands(WorkerMessage {
+                name, token, agent_epoch, calls, ..
+            }) = message
+            {
                 let worker = &self.w.workers[name];
                 tasks.extend(known_tasks::startable_tasks(worker, *token, *agent_epoch, calls));
             }
@@ -208,7 +222,7 @@
                         .scheduler(term)
                         .map(|s| s.cluster.machines[machine].name.clone())
                         .expect("the sending leader exists");
-                    let message = Message::WorkerCommands {
+                    let message = WorkerMessage {
                         term,
                         awaits_response: true,
                         name,
@@ -216,7 +230,7 @@
                         agent_epoch,
                         calls,
                     };
-                    self.pending.push(message);
+                    self.pending.push(Message::WorkerCommands(message));
                 }
                 _ => {}
             }
@@ -259,31 +273,16 @@
         if self.pending.is_empty() {
             return;
         }
-        let now = self.w.now;
         let at = pick % self.pending.len();
         match self.pending.swap_remove(at) {
             Message::Commit(term, id, transaction) => {
-                let late = id.is_none();
-                let (outcome, copy) = match fate % 6 {
-                    0 => (TransactionOutcome::Indeterminate, true),
-                    1 => {
-                        self.apply(term, &transaction, late);
-                        (TransactionOutcome::Indeterminate, false)
-                    }
-                    2 => (TransactionOutcome::Rejected, false),
-                    _ => (self.apply(term, &transaction, late), false),
-                };
-                if copy {
-                    self.pending.push(Message::Commit(term, None, transaction));
-                }
-                if let (Some(id), Some(s)) = (id, self.scheduler(term)) {
-                    s.transaction_answered(now, id, outcome);
-                }
+                self.deliver_commit(term, id, transaction, fate);
             }
             Message::JobEnds(term, names) => {
                 // Only the first `fate` of the ends are found, perhaps none.
                 let mut found = self.w.store.ends(&names);
                 found.truncate(fate);
+                let now = self.w.now;
                 if let Some(s) = self.scheduler(term) {
                     s.job_ends_found(now, &found);
                 }
@@ -293,87 +292,101 @@
                     true => ReadOutcome::Unavailable,
                     false => self.w.store.read(&key),
                 };
+                let now = self.w.now;
                 if let Some(s) = self.scheduler(term) {
                     s.read_answered(now, id, outcome);
                 }
             }
-            Message::WorkerCommands { term, awaits_response, name, token, agent_epoch, calls }
-                if self.unreachable.contains(&name) =>
-            {
+            Message::WorkerCommands(message) if self.unreachable.contains(&message.name) => {
                 // The message stays in flight and may arrive once the machine is reachable again.
-                let copy = Message::WorkerCommands {
-                    term,
-                    awaits_response: false,
-                    name: name.clone(),
-                    token,
-                    agent_epoch,
-                    calls,
-                };
-                self.pending.push(copy);
-                if awaits_response {
-                    if let Some(s) = self.scheduler(term) {
-                        let machine = s.cluster.machines_by_name[&name];
-                        s.message_answered(now, machine, MessageOutcome::Indeterminate);
-                    }
-                }
+                self.pending.push(Message::WorkerCommands(message.duplicate()));
+                self.answer_worker_message(&message, MessageOutcome::Indeterminate);
             }
-            Message::WorkerCommands { term, awaits_response, name, token, agent_epoch, calls } => {
-                let worker = self.w.workers.get_mut(&name).expect("a worker of that name");
-                let (outcome, copy) = match fate % 6 {
-                    0 => (MessageOutcome::Indeterminate, true),
-                    2 => (MessageOutcome::NotSent, false),
-                    1 if worker.alive => {
-                        worker.run_commands(token, agent_epoch, &calls);
-                        (MessageOutcome::Indeterminate, fate % 12 == 1)
-                    }
-                    _ if worker.alive => {
-                        let heartbeat = worker.run_commands(token, agent_epoch, &calls);
-                        // A duplicate of an executed request may follow.
-                        (MessageOutcome::Answered(Box::new(heartbeat)), fate % 12 == 3)
-                    }
-                    _ => (MessageOutcome::Indeterminate, false),
-                };
-                if copy {
-                    let name = name.clone();
-                    let copy = Message::WorkerCommands {
-                        term,
-                        awaits_response: false,
-                        name,
-                        token,
-                        agent_epoch,
-                        calls,
-                    };
-                    self.pending.push(copy);
-                }
-                if awaits_response {
-                    if let Some(s) = self.scheduler(term) {
-                        let machine = s.cluster.machines_by_name[&name];
-                        s.message_answered(now, machine, outcome);
-                    }
-                }
+            Message::WorkerCommands(message) => self.deliver_worker_commands(message, fate),
+            Message::Heartbeat(heartbeat) => self.deliver_heartbeat(heartbeat, fate),
+        }
+    }
+
+    fn deliver_commit(
+        &mut self,
+        term: Term,
+        id: Option<u64>,
+        transaction: Transaction,
+        fate: usize,
+    ) {
+        let late = id.is_none();
+        let (outcome, copy) = match fate % 6 {
+            0 => (TransactionOutcome::Indeterminate, true),
+            1 => {
+                self.apply(term, &transaction, late);
+                (TransactionOutcome::Indeterminate, false)
             }
-            Message::Heartbeat(heartbeat) => {
-                if fate % 12 == 7 {
-                    // A duplicate arrives later, perhaps at the next leader.
-                    self.pending.push(Message::Heartbeat(heartbeat.clone()));
-                }
-                // It reaches the current leader or an old one, and the response may get lost.
-                let n = self.old_leaders.len();
-                let s = match fate % 5 {
-                    0 if n > 0 => &mut self.old_leaders[fate / 5 % n],
-                    _ => &mut self.w.leader,
-                };
-                let answer = s.handle_heartbeat(now, &heartbeat);
-                let unreachable = self.unreachable.contains(&heartbeat.machine);
-                if let (Ok(HeartbeatAnswer { token, commands: calls }), true) =
-                    (answer, !fate.is_multiple_of(3) && !unreachable)
-                {
-                    let worker =
-                        self.w.workers.get_mut(&heartbeat.machine).expect("a worker of that name");
-                    if worker.alive {
-                        worker.receive_heartbeat_response(heartbeat.agent_epoch, token, &calls);
-                    }
-                }
+            2 => (TransactionOutcome::Rejected, false),
+            _ => (self.apply(term, &transaction, late), false),
+        };
+        if copy {
+            self.pending.push(Message::Commit(term, None, transaction));
+        }
+        let now = self.w.now;
+        if let (Some(id), Some(s)) = (id, self.scheduler(term)) {
+            s.transaction_answered(now, id, outcome);
+        }
+    }
+
+    fn deliver_worker_commands(&mut self, message: WorkerMessage, fate: usize) {
+        let WorkerMessage { token, agent_epoch, calls, .. } = &message;
+        let worker = self.w.workers.get_mut(&message.name).expect("a worker of that name");
+        let (outcome, copy) = match fate % 6 {
+            0 => (MessageOutcome::Indeterminate, true),
+            2 => (MessageOutcome::NotSent, false),
+            1 if worker.alive => {
+                worker.run_commands(*token, *agent_epoch, calls);
+                (MessageOutcome::Indeterminate, fate % 12 == 1)
+            }
+            _ if worker.alive => {
+                let heartbeat = worker.run_commands(*token, *agent_epoch, calls);
+                // A duplicate of an executed request may follow.
+                (MessageOutcome::Answered(Box::new(heartbeat)), fate % 12 == 3)
+            }
+            _ => (MessageOutcome::Indeterminate, false),
+        };
+        if copy {
+            self.pending.push(Message::WorkerCommands(message.duplicate()));
+        }
+        self.answer_worker_message(&message, outcome);
+    }
+
+    /// Gives the outcome to the leader that sent the message, if it still waits for it.
+    fn answer_worker_message(&mut self, message: &WorkerMessage, outcome: MessageOutcome) {
+        let now = self.w.now;
+        if !message.awaits_response {
+            return;
+        }
+        if let Some(s) = self.scheduler(message.term) {
+            let machine = s.cluster.machines_by_name[&message.name];
+            s.message_answered(now, machine, outcome);
+        }
+    }
+
+    fn deliver_heartbeat(&mut self, heartbeat: Heartbeat, fate: usize) {
+        if fate % 12 == 7 {
+            // A duplicate arrives later, perhaps at the next leader.
+            self.pending.push(Message::Heartbeat(heartbeat.clone()));
+        }
+        // It reaches the current leader or an old one, and the response may get lost.
+        let n = self.old_leaders.len();
+        let s = match fate % 5 {
+            0 if n > 0 => &mut self.old_leaders[fate / 5 % n],
+            _ => &mut self.w.leader,
+        };
+        let answer = s.handle_heartbeat(self.w.now, &heartbeat);
+        let unreachable = self.unreachable.contains(&heartbeat.machine);
+        if let (Ok(HeartbeatAnswer { token, commands: calls }), true) =
+            (answer, !fate.is_multiple_of(3) && !unreachable)
+        {
+            let worker = self.w.workers.get_mut(&heartbeat.machine).expect("a worker of that name");
+            if worker.alive {
+                worker.receive_heartbeat_response(heartbeat.agent_epoch, token, &calls);
             }
         }
     }
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -7,17 +7,14 @@
 use std::rc::Rc;
 
 use serde_json::{json, Value};
-use walnutlug_scheduler::command::{Command, MessageOutcome, ReadOutcome, TransactionOutcome};
+use walnutlug_scheduler::command::{Command, MessageOutcome};
 use walnutlug_scheduler::leadership::fencing_token::{FencingToken, Term};
 use walnutlug_scheduler::model::ids::{AgentEpoch, Attempt, MachineIndex};
 use walnutlug_scheduler::model::job_spec::{JobEnd, JobSpec, Priority};
 use walnutlug_scheduler::model::team::Team;
 use walnutlug_scheduler::protocol::cloud::MachineType;
-use walnutlug_scheduler::protocol::key_value::{KeyValue, Operation, Transaction};
-use walnutlug_scheduler::protocol::workers::{
-    ExitReason, Heartbeat, TaskState, TaskStatus, WorkerCommand,
-};
-use walnutlug_scheduler::queue::dependencies::JobEndLookup;
+use walnutlug_scheduler::protocol::key_value::Transaction;
+use walnutlug_scheduler::protocol::workers::{ExitReason, TaskState, WorkerCommand};
 use walnutlug_scheduler::reconciliation::heartbeats::HeartbeatAnswer;
 use walnutlug_scheduler::scheduler::Scheduler;
 use walnutlug_scheduler::storage::keys::{self, RunKey};
@@ -33,251 +30,18 @@
 pub mod golden;
 pub mod known_tasks;
 pub mod recorded_starts;
+mod store;
 pub mod transcript;
+mod worker;
+
+pub use store::Store;
+pub use worker::Worker;
 
 /// Start of the tests' monotonic clock, in microseconds.
 const START: u64 = 1 << 40;
 /// Wall-clock time at [`START`], in microseconds since the Unix epoch.
 pub const WALL: u64 = 1_700_000_000_000_000;
 
-/// An in-memory key-value store with transactions.
-#[derive(Debug, Default)]
-pub struct Store {
-    pub keys: BTreeMap<String, (Value, Revision)>,
-    pub store_revision: Revision,
-    /// The largest value in bytes and the most operations per transaction, if limited.
-    pub limits: Option<(usize, usize)>,
-}
-
-impl Store {
-    /// Reads a key.
-    pub fn read(&self, key: &str) -> ReadOutcome {
-        match self.keys.get(key).cloned() {
-            Some((value, revision)) => ReadOutcome::Found { value, revision },
-            None => ReadOutcome::Missing,
-        }
-    }
-
-    /// Executes a transaction and records its outcome in the transcript.
-    pub fn apply(&mut self, transaction: &Transaction) -> TransactionOutcome {
-        let outcome = self.commit_or_reject(transaction);
-        transcript::applied(transaction, &outcome);
-        outcome
-    }
-
-    fn commit_or_reject(&mut self, transaction: &Transaction) -> TransactionOutcome {
-        if let Some((max_value_bytes, max_operations)) = self.limits {
-            let size = |c: &Operation| match c {
-                Operation::Put { value, .. } => value.size(),
-                Operation::Delete { .. } => 0,
-            };
-            let large = transaction.operations.iter().any(|c| size(c) > max_value_bytes);
-            if large
-                || transaction.operations.len() > max_operations
-                || transaction.compares.len() > 4 * max_operations
-            {
-                return TransactionOutcome::TooLarge;
-            }
-        }
-        let revision = |k: &str| self.keys.get(k).map_or(Revision::NONE, |v| v.1);
-        let failed: Vec<String> = transaction
-            .compares
-            .iter()
-            .filter(|g| revision(&g.key) != g.revision)
-            .map(|g| g.key.clone())
-            .collect();
-        if !failed.is_empty() {
-            return TransactionOutcome::Conflict { failed };
-        }
-        self.store_revision.0 += 1;
-        for change in &transaction.operations {
-            match change {
-                Operation::Put { put, value, .. } => {
-                    if put.starts_with(keys::END) {
-                        assert!(
-                            !self.keys.contains_key(put),
-                            "{put} is overwritten, but a job end may be written only once"
-                        );
-                    }
-                    self.keys.insert(put.clone(), (value.to_value(), self.store_revision));
-                }
-                Operation::Delete { drop } => {
-                    self.keys.remove(drop);
-                }
-            }
-        }
-        TransactionOutcome::Committed { revision: self.store_revision }
-    }
-
-    /// Returns all keys with the prefix, in order.
-    pub fn key_values(&self, prefix: &str) -> Vec<KeyValue> {
-        let found = self.keys.iter().filter(|(k, _)| k.starts_with(prefix));
-        found
-            .map(|(k, (v, revision))| KeyValue {
-                key: k.clone(),
-                value: v.clone(),
-                revision: *revision,
-            })
-            .collect()
-    }
-
-    /// Looks up whether each job has ended, is open or is unknown.
-    pub fn ends(&self, names: &[String]) -> Vec<(String, JobEndLookup)> {
-        let find = |name: &String| match self.keys.get(&keys::end(name)) {
-            Some((end, _)) => {
-                JobEndLookup::Ended(serde_json::from_value(end.clone()).expect("an end"))
-            }
-            None if self.keys.contains_key(&keys::job(name)) => JobEndLookup::Open,
-            None => JobEndLookup::Missing,
-        };
-        names.iter().map(|n| (n.clone(), find(n))).collect()
-    }
-
-    /// Writes a key as another node would, and returns the new revision.
-    pub fn put(&mut self, key: &str, value: Value) -> Revision {
-        transcript::put(key, &value);
-        self.store_revision.0 += 1;
-        self.keys.insert(key.to_owned(), (value, self.store_revision));
-        self.store_revision
-    }
-}
-
-/// A worker that follows the worker protocol.
-#[derive(Debug, Clone)]
-pub struct Worker {
-    pub name: String,
-    pub zone: String,
-    pub agent_epoch: AgentEpoch,
-    pub sequence: u64,
-    pub token: FencingToken,
-    pub tasks: BTreeMap<(String, Attempt), (TaskState, Option<ExitReason>)>,
-    pub alive: bool,
-    /// Interruption notice that its heartbeats report, in seconds.
-    pub interruption_at: Option<f64>,
-    pub spot: bool,
-}
-
-impl Worker {
-    pub fn new(name: &str, zone: &str) -> Worker {
-        Worker {
-            name: name.to_owned(),
-            zone: zone.to_owned(),
-            agent_epoch: AgentEpoch(1),
-            sequence: 0,
-            token: FencingToken(0),
-            tasks: BTreeMap::new(),
-            alive: true,
-            interruption_at: None,
-            spot: false,
-        }
-    }
-
-    /// Returns its next heartbeat.
-    pub fn heartbeat(&mut self) -> Heartbeat {
-        self.sequence += 1;
-        Heartbeat {
-            machine: self.name.clone(),
-            address: "10.0.0.1:1".into(),
-            kind: "t8".into(),
-            zone: self.zone.clone(),
-            spot: self.spot,
-            agent_epoch: self.agent_epoch,
-            sequence: self.sequence,
-            token: self.token,
-            interruption_notice_s: self.interruption_at,
-            tasks: self
-                .tasks
-                .iter()
-                .map(|((task, attempt), (state, cause))| TaskStatus {
-                    task: task.clone(),
-                    attempt: *attempt,
-                    state: *state,
-                    cause: *cause,
-                })
-                .collect(),
-        }
-    }
-
-    fn execute(&mut self, calls: &[WorkerCommand]) {
-        for call in calls {
-            match call {
-                WorkerCommand::Run { task, attempt } => {
-                    let is_live_here =
-                        |(t, (s, _)): (&(String, Attempt), &(TaskState, Option<ExitReason>))| {
-                            t.0 == *task && *s != TaskState::Exited
-                        };
-                    let key = (task.clone(), *attempt);
-                    if self.tasks.contains_key(&key) {
-                        continue;
-                    }
-                    let state = if self.tasks.iter().any(is_live_here) {
-                        (TaskState::Exited, Some(ExitReason::InUse))
-                    } else {
-                        (TaskState::Running, None)
-                    };
-                    self.tasks.insert(key, state);
-                }
-                WorkerCommand::Kill { task, attempt, .. } => {
-                    if let Some(t) = self.tasks.get_mut(&(task.clone(), *attempt)) {
-                        if t.0 != TaskState::Exited {
-                            *t = (TaskState::Exited, Some(ExitReason::Stopped));
-                        }
-                    }
-                }
-                WorkerCommand::Reap { task, attempt } => {
-                    let key = (task.clone(), *attempt);
-                    if self.tasks.get(&key).is_some_and(|t| t.0 == TaskState::Exited) {
-                        self.tasks.remove(&key);
-                    }
-                }
-            }
-        }
-    }
-
-    /// Handles a request to `/commands`. It executes the commands unless their token or agent epoch
-    /// is outdated, and returns the heartbeat after that.
-    pub fn run_commands(
-        &mut self,
-        token: FencingToken,
-        agent_epoch: AgentEpoch,
-        calls: &[WorkerCommand],
-    ) -> Heartbeat {
-        if token >= self.token && agent_epoch == self.agent_epoch {
-            self.token = token;
-            self.execute(calls);
-        }
-        self.heartbeat()
-    }
-
-    /// Handles the response to a heartbeat that it sent in the given agent epoch.
-    pub fn receive_heartbeat_response(
-        &mut self,
-        agent_epoch: AgentEpoch,
-        token: FencingToken,
-        calls: &[WorkerCommand],
-    ) {
-        if token >= self.token && agent_epoch == self.agent_epoch {
-            self.token = token;
-            self.execute(calls);
-        }
-    }
-
-    /// Stops all tasks and begins a new agent epoch, as a worker does when its lease expires.
-    pub fn expire_lease(&mut self) {
-        self.tasks.clear();
-        self.agent_epoch.0 += 1;
-    }
-
-    /// Returns the tasks that have not exited.
-    pub fn live(&self) -> BTreeSet<String> {
-        if !self.alive {
-            return BTreeSet::new();
-        }
-        let live = self.tasks.iter().filter(|(_, s)| s.0 != TaskState::Exited);
-        live.map(|(t, _)| t.0.clone()).collect()
-    }
-}
-
 /// Returns the default job: tasks of 2 CPUs with 100 s to finish, for the team without a limit.
 pub fn spec(tasks: u32) -> JobSpec {
     JobSpec {
