A node that meets the lower rates tells the others of the rates

Cause: since refusals for the rate leave the size limits as they are, a node with such refusals alone told its peers nothing, and each had to be refused five times itself.

Change: a frame of its own says that the announced rates are in force; who receives it keeps to the rates and to its size limits.

Test: `only_a_burst_of_rate_refusals_lowers_the_rates_and_no_size_limit` looks at the peer too; golden bytes of the frame.

--- a/crates/controller/src/key_value_client.rs
+++ b/crates/controller/src/key_value_client.rs
@@ -108,6 +108,18 @@
         self.limits.borrow().announced_are_in_force()
     }
 
+    /// Returns whether limits were announced and this process considers their rates to be in force.
+    pub(crate) fn rates_lowered(&self) -> bool {
+        self.limits.borrow().announced_rates_are_in_force()
+    }
+
+    /// Applies the announced rates because another node reports that they are in force.
+    pub(crate) fn learn_rates_lowered(&self) {
+        if !self.limits.borrow().rates_are_lowered() {
+            self.lower_limits(LoweredBy::PeerRates);
+        }
+    }
+
     /// Applies the announced limits because another node reports that they are in force. If the
     /// report is wrong, this node only sends less than it could.
     pub(crate) fn learn_limits_lowered(&self) {
--- a/crates/controller/src/key_value_client/limits.rs
+++ b/crates/controller/src/key_value_client/limits.rs
@@ -87,6 +87,8 @@
     RateRefusals,
     /// Another node reported the lower limits, of which it has had a refusal for size.
     Peer,
+    /// Another node reported the lower rates.
+    PeerRates,
 }
 
 impl LoweredBy {
@@ -95,12 +97,13 @@
             LoweredBy::SizeRefusal => "size refusal",
             LoweredBy::RateRefusals => "rate refusals",
             LoweredBy::Peer => "peer",
+            LoweredBy::PeerRates => "peer with rate refusals",
         }
     }
 
     /// Returns whether the limits for values and transactions are in force, and not just the rates.
     fn shows_sizes(self) -> bool {
-        self != LoweredBy::RateRefusals
+        matches!(self, LoweredBy::SizeRefusal | LoweredBy::Peer)
     }
 }
 
@@ -151,6 +154,17 @@
         self.sizes_lowered
     }
 
+    /// Returns whether the announced rates are in force, or no limits were announced.
+    pub(super) fn rates_are_lowered(&self) -> bool {
+        self.rates_lowered
+    }
+
+    /// Returns whether limits were announced and their rates are in force, as far as this node
+    /// knows.
+    pub(super) fn announced_rates_are_in_force(&self) -> bool {
+        self.rates_lowered && self.lowering_announced
+    }
+
     /// Returns whether limits were announced and are all in force, as far as this node knows.
     pub(super) fn announced_are_in_force(&self) -> bool {
         self.sizes_lowered && self.lowering_announced
--- a/crates/controller/src/key_value_client/tests.rs
+++ b/crates/controller/src/key_value_client/tests.rs
@@ -111,7 +111,11 @@
     let _ = store.commit(RequestClass::Dispatch, &Transaction::default()).await;
     let Limits { value_bytes, .. } = configured;
     assert_eq!(store.limits(), Limits { value_bytes, ..announced });
-    assert!(!store.limits_lowered(), "must not be reported to other nodes");
+    assert!(store.rates_lowered() && !store.limits_lowered(), "only the rates are reported");
+    // Another node that learns of the rates keeps to them.
+    let peer = client_with_statuses(&[200], Some(announced));
+    peer.learn_rates_lowered();
+    assert_eq!((peer.limits(), peer.limits_lowered()), (store.limits(), false));
     // A refusal for size, or another node that has had one, lowers the sizes as well.
     store.learn_limits_lowered();
     assert!(store.limits_lowered() && store.limits() == announced);
--- a/crates/controller/src/node/broadcast.rs
+++ b/crates/controller/src/node/broadcast.rs
@@ -82,6 +82,8 @@
             // Otherwise a node that becomes leader later would learn of the lowered limits only
             // from rejected writes.
             self.broadcast(&Frame::LimitsLowered);
+        } else if self.key_value.rates_lowered() {
+            self.broadcast(&Frame::RatesLowered);
         }
         leading
     }
--- a/crates/controller/src/node/peer_messages.rs
+++ b/crates/controller/src/node/peer_messages.rs
@@ -33,6 +33,7 @@
             }
             Frame::NewJob { .. } => self.watch_wakeup.notify_one(),
             Frame::LimitsLowered => self.key_value.learn_limits_lowered(),
+            Frame::RatesLowered => self.key_value.learn_rates_lowered(),
             Frame::Machines(machines) => self.cluster_view.record_addresses(machines),
         }
     }
--- a/crates/controller/src/peers/frame.rs
+++ b/crates/controller/src/peers/frame.rs
@@ -51,6 +51,8 @@
     pub(super) const DELEGATION_REQUEST: u16 = 14;
     pub(super) const DELEGATION_GRANTED: u16 = 15;
     pub(super) const INVALIDATED: u16 = 16;
+    /// Introduced when refusals for the rate no longer lowered the limits for sizes.
+    pub(super) const RATES_LOWERED: u16 = 17;
 }
 
 /// Reason why a frame can't be read. The connection is closed then.
@@ -99,6 +101,9 @@
     /// The key-value store enforces its lower, announced limits at the sender. A node that receives
     /// this only reduces what it sends.
     LimitsLowered,
+    /// The key-value store enforces its lower, announced rates at the sender, which has had no
+    /// refusal for size.
+    RatesLowered,
     /// Addresses of machines that report to the leader.
     Machines(Vec<MachineAddress>),
     /// Consecutive entries of a node's cancellation log.
@@ -145,6 +150,7 @@
             Frame::Ended { job, end } => (kind::ENDED, JobBody::new(job).with_end(*end).encode()),
             Frame::NewJob { job } => (kind::NEW_JOB, JobBody::new(job).encode()),
             Frame::LimitsLowered => (kind::LIMITS_LOWERED, Vec::new()),
+            Frame::RatesLowered => (kind::RATES_LOWERED, Vec::new()),
             Frame::Machines(machines) => (kind::MACHINES, encode_machines(machines)),
             Frame::Cancellations(part) => (kind::CANCELLATIONS, part.encode()),
             Frame::CancellationsAck(ack) => (kind::CANCELLATIONS_ACK, ack.encode()),
@@ -178,6 +184,7 @@
             kind::NEW_JOB => Frame::NewJob { job: JobBody::decode(body)?.job()? },
             kind::MACHINES => Frame::Machines(decode_machines(body)?),
             kind::LIMITS_LOWERED => Frame::LimitsLowered,
+            kind::RATES_LOWERED => Frame::RatesLowered,
             kind::CANCELLATIONS => Frame::Cancellations(Cancellations::decode(body)?),
             kind::CANCELLATIONS_ACK => Frame::CancellationsAck(CancellationsAck::decode(body)?),
             kind::CANCELLATION_LOG_END => {
--- a/crates/controller/src/peers/golden_tests.rs
+++ b/crates/controller/src/peers/golden_tests.rs
@@ -14,8 +14,8 @@
 use crate::golden_file::{hexadecimal, Golden};
 
 const GOLDEN_FILE: &str = "src/peers/golden/frames.txt";
-/// Number of frame kinds: 1 to 16 without 5, which no version in use knows.
-const KIND_COUNT: usize = 15;
+/// Number of frame kinds: 1 to 17 without 5, which no version in use knows.
+const KIND_COUNT: usize = 16;
 
 /// Returns the number of the frame's kind on the wire. A new kind has to be added here and to
 /// [`frames`].
@@ -36,6 +36,7 @@
         Frame::DelegationRequest(_) => 14,
         Frame::DelegationGranted(_) => 15,
         Frame::Invalidated { .. } => 16,
+        Frame::RatesLowered => 17,
     }
 }
 
@@ -115,6 +116,7 @@
         ("status of a leader", status(true, false)),
         ("status of a served follower", status(false, true)),
         ("limits fell", Frame::LimitsLowered),
+        ("rates fell", Frame::RatesLowered),
         (
             "machines",
             Frame::Machines(vec![
--- a/crates/controller/src/peers/tests.rs
+++ b/crates/controller/src/peers/tests.rs
@@ -115,7 +115,11 @@
 
 #[tokio::test(start_paused = true)]
 async fn decoding_an_encoded_frame_yields_the_same_frame() {
-    for frame in frames().into_iter().chain([Frame::LimitsLowered]).chain(heartbeat_frames()) {
+    for frame in frames()
+        .into_iter()
+        .chain([Frame::LimitsLowered, Frame::RatesLowered])
+        .chain(heartbeat_frames())
+    {
         let bytes = frame.encode();
         let read = read_frame(&mut bytes.as_slice()).await;
         assert_eq!(read.expect("a valid frame"), Some(frame));
