Parts are sized for the longest machine name in their chunk

Cause: a part allowed 64 bytes for the record of a task, which fits names of up to 16 characters. With longer ones a part could exceed the limit that it was sized for. Each refusal then halved the known limits until the parts fitted; since a refusal counts only for a transaction within the known limits, such parts would have been refused without end.

Change: the size allows for the longest name among the chunk's placed tasks. What is built keeps to the limits that it is built for, which the judgement of refusals relies on.

The random interleavings use names of 40 characters; their jobs and limits grow so that parts have five tasks down to one as before.

--- a/crates/scheduler/src/storage/chunk_writes.rs
+++ b/crates/scheduler/src/storage/chunk_writes.rs
@@ -40,7 +40,8 @@
         let encoded = EncodedTasks::new(self.cluster, job, tasks.clone(), &nonce);
         let value_bytes = self.transactions.limits().value_bytes;
         if encoded.size() > value_bytes {
-            let windows = Windows { tasks, size: records::part_size(value_bytes) };
+            let size = records::part_size(self.cluster, job, tasks.clone(), value_bytes);
+            let windows = Windows { tasks, size };
             return self.add_parts(id, &windows, &nonce);
         }
         // The record holds all tasks of the chunk, so it takes none out of the store.
--- a/crates/scheduler/src/storage/records.rs
+++ b/crates/scheduler/src/storage/records.rs
@@ -22,16 +22,31 @@
 /// Unit of a task's stored placement time, which is counted from its job's acceptance.
 const PLACED_UNIT: TimeDelta = TimeDelta::from_millis(100);
 
+/// Size allowed for the record of one task in a part, in bytes, unless its machine's name is longer
+/// than usual.
+const MIN_RECORD_BYTES: usize = 64;
+/// Size allowed for the record of one task besides its machine's name, in bytes.
+const RECORD_BYTES_WITHOUT_NAME: usize = 48;
+
 /// Returns how many tasks one stored chunk holds, so that its value stays within the limit even
 /// with long machine names and large attempt numbers.
 pub fn chunk_size(value_bytes: usize) -> u32 {
     ((value_bytes.saturating_sub(96)) / 48).clamp(1, 200) as u32
 }
 
-/// Returns how many tasks one part of a chunk holds, so that its value stays within the limit even
-/// with the longest records.
-pub(crate) fn part_size(value_bytes: usize) -> u32 {
-    (value_bytes.saturating_sub(96) / 64).clamp(1, 200) as u32
+/// Returns how many of the job's tasks one part of a chunk holds, so that its value stays within the
+/// limit even with the longest records. `tasks` are those of the chunk.
+pub(crate) fn part_size(
+    cluster: &Cluster,
+    job: &Job,
+    tasks: Range<u32>,
+    value_bytes: usize,
+) -> u32 {
+    let tasks = job.tasks[tasks.start as usize..tasks.end as usize].iter();
+    let placed = tasks.filter(|task| task.phase.placed());
+    let longest_name = placed.map(|task| cluster.machines[task.machine].name.len()).max();
+    let record_bytes = MIN_RECORD_BYTES.max(longest_name.unwrap_or(0) + RECORD_BYTES_WITHOUT_NAME);
+    (value_bytes.saturating_sub(96) / record_bytes).clamp(1, 200) as u32
 }
 
 /// Stored form of a job's description.
--- a/crates/scheduler/tests/random_interleavings.rs
+++ b/crates/scheduler/tests/random_interleavings.rs
@@ -62,7 +62,7 @@
 /// Limits of the key-value store, from high to low: largest value in bytes and most operations per
 /// transaction. With all tasks placed, a chunk written by the previous version exceeds the second
 /// and the following ones, which hold parts of five, four, three, two and one tasks.
-const LIMITS: [(usize, usize); 6] = [(4_096, 12), (416, 3), (352, 2), (288, 2), (224, 1), (100, 1)];
+const LIMITS: [(usize, usize); 6] = [(4_096, 12), (536, 3), (448, 2), (360, 2), (272, 1), (100, 1)];
 
 /// Returns the name of a machine, so long that task records of a few machines exceed the limits.
 fn machine_name(number: usize) -> String {
@@ -112,7 +112,7 @@
 /// Tasks per chunk in the previous version.
 const PREVIOUS_VERSION_CHUNK: u32 = 168;
 /// Tasks of each job that is accepted before the upgrade.
-const FORMER_JOB_TASKS: u32 = 8;
+const FORMER_JOB_TASKS: u32 = 12;
 /// Tasks of each job that is accepted after the upgrade has begun.
 const JOB_TASKS: u32 = 3;
 
--- a/crates/scheduler/tests/storage_limits.rs
+++ b/crates/scheduler/tests/storage_limits.rs
@@ -258,6 +258,20 @@
     assert!(!w.store.keys.contains_key(&keys::todo(JOB)), "{:?}", chunk_keys(&w));
 }
 
+/// Guards against writes that the store can never accept: parts were sized for machine names of usual
+/// length.
+#[test]
+fn parts_fit_the_limits_with_long_machine_names() {
+    let names: Vec<String> = (0..40).map(|n| format!("machine-{n:0>100}")).collect();
+    let machines: Vec<(&str, &str)> = names.iter().map(|name| (name.as_str(), "a")).collect();
+    let mut w = World::new(&machines);
+    w.submit_in_chunks(JOB, &spec(160), OLD_CHUNK_SIZE);
+    lower_limits(&mut w);
+    w.settle();
+    assert_eq!(w.places().len(), 160);
+    assert_first_attempts_complete(w);
+}
+
 /// A refusal for size is a certain outcome, so the refused starts must be planned again at once, in
 /// smaller transactions.
 #[test]
