--- a/crates/scheduler/src/storage/chunk_records.rs
+++ b/crates/scheduler/src/storage/chunk_records.rs
@@ -4,7 +4,7 @@
 //! revision counts. A part's key names its first task, but its length follows from the value limit
 //! known at the time of the write. A write can therefore replace a part by a shorter one, and the
 //! tasks beyond its end are then in no record, or only in an outdated one. Before a record is
-//! replaced, [`ChunkRecords::task_lost_by`] finds the tasks that have to be written elsewhere.
+//! replaced, `ChunkRecords::task_lost_by` finds the tasks that have to be written elsewhere.
 
 use std::collections::BTreeMap;
 use std::ops::Range;
