Both tests of a lost, then too large write check that nothing is sent before the read

Cause: when the former test was split by its two outcomes, the check that no command is sent before the chunk was read stayed with the executed one.

--- a/crates/scheduler/tests/storage_limits.rs
+++ b/crates/scheduler/tests/storage_limits.rs
@@ -309,6 +309,9 @@
     assert_eq!(outcome, TransactionOutcome::TooLarge);
     w.leader.transaction_answered(w.now, id, outcome);
     w.tick();
+    let sends_commands =
+        |c: &Command| matches!(c, Command::SendToWorker { calls, .. } if !calls.is_empty());
+    assert!(!w.commands.iter().any(sends_commands), "commands were sent before the chunk was read");
     transaction
 }
 
@@ -334,9 +337,6 @@
 fn refusal_for_size_after_a_lost_answer_is_resolved_by_reading_the_chunk() {
     let mut w = world_with_machines(40);
     lose_answer_before_limits_fall(&mut w, true);
-    let sends_commands =
-        |c: &Command| matches!(c, Command::SendToWorker { calls, .. } if !calls.is_empty());
-    assert!(!w.commands.iter().any(sends_commands), "commands were sent before the chunk was read");
     w.settle();
     assert!(!steps_down(&w));
     assert_first_attempts_complete(w);
