--- a/review/standins2.py
+++ b/review/standins2.py
@@ -174,6 +174,11 @@
         self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
         return self
 
+    def refuse(self):
+        """Refuses connections from now on, and ends those that are open."""
+        self.server.close()
+        self.reset()
+
     def reset(self):
         """Ends all connections."""
         for writer in list(self.open):
@@ -235,6 +240,8 @@
         self.changed = asyncio.Event()   # set, and replaced, at each change
         self.refused = set()
         self.before_commit = None
+        self.hook = None     # may answer any request instead: `async hook(node, method, path, body)`
+        self.elections = []  # (time, node that the leader key names, or None)
         self.refusals = 0
         self.delay = 0.004   # seconds that an answer takes
 
@@ -274,6 +281,9 @@
                 self.notify()
 
     def notify(self):
+        holder = self.keys["leader"][0]["node"] if "leader" in self.keys else None
+        if not self.elections or self.elections[-1][1] != holder:
+            self.elections.append((now(), holder))
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -288,6 +298,10 @@
                 self.refusals += 1
                 return 429, {"error": "too many requests"}
             await asyncio.sleep(self.delay)
+            if self.hook:
+                verdict = await self.hook(node, method, path, body)
+                if verdict is not None:
+                    return verdict if verdict != "lost" else None
             if path == "/multi" and method == "POST":
                 if self.before_commit:
                     verdict = await self.before_commit(node, body)
@@ -414,6 +428,7 @@
         self.down = False
         self.log = []
         self.refused = []
+        self.requests = []
 
     async def rent(self, breed, grove, windfall, boot_s=None):
         self.number += 1
@@ -432,6 +447,7 @@
 
     def handler(self, node):
         async def handle(method, path, query, body):
+            self.requests.append((now(), node, method, path, body))
             if self.down:
                 return 503, {"error": "trouble"}
             tokens, at = self.tokens
@@ -827,7 +843,7 @@
     def memory_mb(self, name):
         with open(f"/proc/{self.processes[name].pid}/status", encoding="ascii") as file:
             for line in file:
-                if line.startswith("VmRSS"):
+                if line.startswith("RssAnon"):
                     return int(line.split()[1]) / 1024
         return 0.0
 
