--- a/review/sites2.py
+++ b/review/sites2.py
@@ -5,6 +5,10 @@
     return {"name": name, "cpus": cpus, "cpus_max": cpus_max, "gpus": 0.0, "gpus_max": 0.0}
 
 
+def deadline(name, share):
+    return {"kind": "deadline", "class": name, "share": share, "times": 1.0}
+
+
 def machine_type(sku, vcpus, memory_gb, cache_gb, fetch, price, spot_price, boot_s, zones):
     return {"sku": sku, "vcpus": vcpus, "gpus": 0.0, "memoryGb": memory_gb, "localGb": cache_gb, "pullGbPerS": fetch,
             "price": price, "lowPrice": spot_price, "bootS": boot_s, "groves": zones}
@@ -14,6 +18,8 @@
     zones = ["tartu", "parnu"]
     return {
         "size": 3, "zones": zones, "teams": [team("veokid")],
+        "objectives": [deadline("route-sheets", 0.85), deadline("tank-alarms", 0.94),
+                       {"kind": "wait", "class": "tank-alarms", "within_s": 2.0, "share": 0.9}],
         "workers": {"report_s": 3.0, "lease_s": 24.0, "gang_wait_s": 50.0, "gang_peer_s": 8.0, "cancel_s": 44.0},
         "state": {"rps": 100.0, "write_rps": 40.0, "value_kb": 8.0, "txn_ops": 32},
         "cloud": {"rps": 4.0, "list_lag_s": 10.0},
@@ -28,6 +34,9 @@
     zones = ["tbilisi", "batumi"]
     return {
         "size": 3, "zones": zones, "teams": [team(name) for name in ("survey", "wayfind", "render", "airside")],
+        "objectives": [deadline("tile-render", 0.88), deadline("gate-fix", 0.93),
+                       {"kind": "wait", "class": "closure-push", "within_s": 12.0, "share": 0.9},
+                       {"kind": "finished", "class": "closure-push", "within_s": 100.0, "share": 0.9}],
         "workers": {"report_s": 3.0, "lease_s": 16.0, "gang_wait_s": 35.0, "gang_peer_s": 4.0, "cancel_s": 36.0},
         "state": {"rps": 200.0, "write_rps": 20.0, "value_kb": 4.0, "txn_ops": 12},
         "cloud": {"rps": 2.0, "list_lag_s": 4.0},
