--- a/review/standins2.py
+++ b/review/standins2.py
@@ -937,8 +937,12 @@
 
     async def __aenter__(self):
         self.store_task = asyncio.ensure_future(self.store.run())
-        await self.controllers.start()
-        await self.controllers.ready()
+        try:
+            await self.controllers.start()
+            await self.controllers.ready()
+        except BaseException:
+            await self.__aexit__()
+            raise
         return self
 
     async def machines(self, count, breed, groves, windfall=False, seconds=15):
