A leader holds an array by its placed tasks, not by its size

Cause: `Job::tasks` held a state of 48 bytes for every task of every open array, and `Job::chunks` one entry for every chunk, whether or not anything of them had ever been placed.

Change: `TaskTable` has an entry only for a task that is placed, or completed without the completion being stored; a completed task is a bit, and attempts above the first are kept by attempt. No module outside `model` sees how tasks are held any more. `ChunkTable` has entries only for chunks that are stored, waiting or in flight. The loader reads chunks page by page. The CPUs that end during a boot are counted over placed tasks, and a round looks only at chunks that wait. `stored_completions` follows from the table and is gone.

A reported task whose completion is stored no longer counts as being on its machine; a successor judged it that way before.

--- a/crates/scheduler/src/autoscaling.rs
+++ b/crates/scheduler/src/autoscaling.rs
@@ -360,7 +360,7 @@
             self.cluster.jobs.values().filter(|j| !self.has_short_start_objective(&j.spec.class))
         {
             let run = self.run_times.expected_run(job);
-            let ending_tasks = job.tasks.iter().zip(0..).filter(|(t, index)| {
+            let ending_tasks = job.tasks.placed().filter(|(index, t)| {
                 let since = match job.started.get(index) {
                     Some(&since) => since,
                     // Right after a failover no task has been seen running yet. (While these tasks
@@ -369,7 +369,7 @@
                     None if self.cluster.predates_term(t) => self.cluster.run_started_at(now, t),
                     None => return false,
                 };
-                t.phase.placed() && run - now.since(since).as_secs_f64() < boot_s
+                run - now.since(since).as_secs_f64() < boot_s
             });
             freed_cpus += ending_tasks.count() as f64 * job.spec.cpus;
         }
--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -125,7 +125,7 @@
         if !cluster.apply(now, id, TaskEvent::Stop) {
             return;
         }
-        let (Some(&task), Some(name)) = (cluster.task(id), cluster.task_name(id)) else { return };
+        let (Some(task), Some(name)) = (cluster.task(id), cluster.task_name(id)) else { return };
         let machine = &mut cluster.machines[task.machine];
         if machine.state == MachineState::Up {
             let attempt = task.attempt;
@@ -366,7 +366,7 @@
     }
     let stop_command = |id: &TaskId| {
         let job = cluster.job(id.job).filter(|job| job.is_ended())?;
-        let task = &job.tasks[id.index as usize];
+        let task = job.tasks.get(id.index)?;
         let command = WorkerCommand::Kill {
             task: job.task_name(id.index),
             attempt: task.attempt,
--- a/crates/scheduler/src/dispatch/starts.rs
+++ b/crates/scheduler/src/dispatch/starts.rs
@@ -91,7 +91,7 @@
 ) -> StartDecision {
     let TaskStart { task: id, placement } = start;
     let Some(job) = cluster.job(id.job) else { return StartDecision::Forget };
-    let task = job.tasks[id.index as usize];
+    let Some(task) = job.tasks.get(id.index) else { return StartDecision::Forget };
     if task.phase != TaskPhase::Recorded || task.placement() != placement {
         return StartDecision::Forget;
     }
--- a/crates/scheduler/src/model/cluster.rs
+++ b/crates/scheduler/src/model/cluster.rs
@@ -6,16 +6,18 @@
 
 mod machine_table;
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 use walnutlug_admission::shares::Shares;
 
 use crate::leadership::fencing_token::{FencingToken, Term};
+use crate::model::chunk_table::ChunkWrites;
 use crate::model::conflicting_replicas::ConflictingReplicas;
 use crate::model::ids::{Attempt, JobIndex, MachineIndex, TaskId};
 use crate::model::job::Job;
 use crate::model::job_state::JobEvent;
 use crate::model::machine::Machine;
+use crate::model::start::Placement;
 use crate::model::task::{Task, TaskEvent, TaskPhase};
 use crate::protocol::cloud::MachineType;
 use crate::reconciliation::heartbeat_cache::{CacheInvalidation, HeartbeatCache};
@@ -108,8 +110,8 @@
     }
 
     /// Returns the task, unless its job was removed.
-    pub(crate) fn task(&self, id: TaskId) -> Option<&Task> {
-        self.job(id.job)?.tasks.get(id.index as usize)
+    pub(crate) fn task(&self, id: TaskId) -> Option<Task> {
+        self.job(id.job)?.tasks.get(id.index)
     }
 
     /// Returns the name under which workers and users know the task, unless its job was removed.
@@ -149,11 +151,7 @@
     /// Returns the job's tasks that are not proven absent from a machine.
     pub(crate) fn placed_tasks(&self, index: JobIndex) -> Vec<TaskId> {
         let Some(job) = self.job(index) else { return Vec::new() };
-        let tasks = (0..).zip(&job.tasks);
-        tasks
-            .filter(|(_, task)| task.phase.placed())
-            .map(|(task, _)| TaskId { job: index, index: task })
-            .collect()
+        job.tasks.placed().map(|(task, _)| TaskId { job: index, index: task }).collect()
     }
 
     /// Plans the start of a task on a machine. The start is sent only after it has been written.
@@ -171,12 +169,13 @@
         let job = self.jobs.get_mut(&id.job)?;
         let image = job.spec.image.clone();
         let chunk = job.chunk_of(id.index);
-        let start_due = &mut job.chunks[chunk].start_due;
-        let planned = StartPlanned {
-            first_of_chunk: start_due.is_none(),
-            image_cached: self.machines[machine].has_image(&image),
-        };
-        start_due.get_or_insert(now);
+        let first_of_chunk = job.chunks.update_writes(chunk, |writes| {
+            let is_first = writes.start_due.is_none();
+            writes.start_due.get_or_insert(now);
+            is_first
+        });
+        let image_cached = self.machines[machine].has_image(&image);
+        let planned = StartPlanned { first_of_chunk, image_cached };
         // The worker will fetch the image, so later tasks with the same image should prefer this
         // machine.
         self.machines[machine].add_image(image);
@@ -187,18 +186,18 @@
     /// be written any more. Those in a transaction are settled by its outcome.
     pub(crate) fn retract_unwritten_starts(&mut self, now: Timestamp, index: JobIndex) {
         let Some(job) = self.jobs.get_mut(&index).filter(|job| job.placed > 0) else { return };
-        let mut unwritten = Vec::new();
-        for number in 0..job.chunks.len() {
-            let chunk = &mut job.chunks[number];
-            if !chunk.in_flight && chunk.start_due.take().is_some() {
-                unwritten.extend(job.chunk_tasks(number));
-            }
+        let has_unwritten = |writes: &ChunkWrites| !writes.in_flight && writes.start_due.is_some();
+        let chunks = job.chunks.all_writes().filter(|(_, writes)| has_unwritten(writes));
+        let chunks: BTreeSet<usize> = chunks.map(|(chunk, _)| chunk).collect();
+        for &chunk in &chunks {
+            job.chunks.update_writes(chunk, |writes| writes.start_due = None);
         }
-        for task in unwritten {
+        let placed = job.tasks.placed().map(|(task, state)| (task, state.placement()));
+        let unwritten: Vec<(u32, Placement)> =
+            placed.filter(|&(task, _)| chunks.contains(&job.chunk_of(task))).collect();
+        for (task, placement) in unwritten {
             let id = TaskId { job: index, index: task };
-            if let Some(placement) = self.task(id).map(Task::placement) {
-                self.apply(now, id, TaskEvent::NotRecorded(placement));
-            }
+            self.apply(now, id, TaskEvent::NotRecorded(placement));
         }
     }
 
@@ -219,7 +218,6 @@
         if !machine.attach(id, &job.spec) {
             return;
         }
-        job.tasks[id.index as usize].machine = index;
         job.placed += 1;
         *job.zones.entry(machine.zone.clone()).or_default() += 1;
         let team = self.team_usage.entry(job.spec.team.clone()).or_default();
@@ -228,10 +226,10 @@
         self.shares.task_placed(job.share_class, job.spec.task());
     }
 
-    /// Reverses [`Cluster::attach`]. Called only when the task is proven absent from its machine.
-    pub(crate) fn detach(&mut self, now: Timestamp, id: TaskId) {
+    /// Reverses [`Cluster::attach`]. Called only when the task is proven absent from the machine.
+    fn detach(&mut self, now: Timestamp, id: TaskId, index: MachineIndex) {
         let Some(job) = self.jobs.get_mut(&id.job) else { return };
-        let machine = &mut self.machines[job.tasks[id.index as usize].machine];
+        let machine = &mut self.machines[index];
         if !machine.detach(now, id, &job.spec) {
             return;
         }
@@ -251,20 +249,23 @@
     /// Returns whether the event changed anything. This is the only way to change a task's state.
     pub(crate) fn apply(&mut self, now: Timestamp, id: TaskId, event: TaskEvent) -> bool {
         let Some(job) = self.jobs.get_mut(&id.job) else { return false };
-        let Some(task) = job.tasks.get_mut(id.index as usize) else { return false };
+        let Some(mut task) = job.tasks.get(id.index) else { return false };
         let before = task.phase;
         if !task.step(now, event) {
             return false;
         }
         let after = task.phase;
         let machine = task.machine;
+        job.tasks.set(id.index, task);
         match event {
             TaskEvent::Completed
             | TaskEvent::ProvenAbsent
             | TaskEvent::NotSent(_)
             | TaskEvent::ConfirmationExpired => {
                 let chunk = job.chunk_of(id.index);
-                job.chunks[chunk].unpersisted_since.get_or_insert(now);
+                job.chunks.update_writes(chunk, |writes| {
+                    writes.unpersisted_since.get_or_insert(now);
+                });
                 job.changed.insert(id.index);
             }
             TaskEvent::Dispatch { .. } | TaskEvent::NotRecorded(_) => {
@@ -293,7 +294,7 @@
             self.invalidate_cached_heartbeat(machine);
         }
         if before.placed() && !after.placed() {
-            self.detach(now, id);
+            self.detach(now, id, machine);
         } else if let TaskEvent::Dispatch { machine, .. } = event {
             self.attach(id, machine);
         }
@@ -325,11 +326,11 @@
         Some((job.done, job.started.len() as u32))
     }
 
-    /// Returns whether this attempt of the task is recorded as being on the machine.
+    /// Returns whether this attempt of the task is recorded as being on the machine, or as having
+    /// completed there without the completion being stored.
     pub(crate) fn is_placed(&self, machine: MachineIndex, id: TaskId, attempt: Attempt) -> bool {
-        self.task(id).is_some_and(|task| {
-            task.attempt == attempt && task.machine == machine && task.phase != TaskPhase::Pending
-        })
+        let entry = self.job(id.job).and_then(|job| job.tasks.entry(id.index));
+        entry.is_some_and(|task| task.attempt == attempt && task.machine == machine)
     }
 
     pub(crate) fn rezone(&mut self, tasks: &[TaskId], old: &str, new: &str) {
--- a/crates/scheduler/src/model/job.rs
+++ b/crates/scheduler/src/model/job.rs
@@ -7,28 +7,14 @@
 use roaring::RoaringBitmap;
 use walnutlug_admission::shares::ClassId;
 
+use crate::model::chunk_table::ChunkTable;
 use crate::model::ids::MachineIndex;
 use crate::model::job_spec::{JobSpec, Priority};
 use crate::model::job_state::{JobEvent, JobState};
-use crate::model::task::Task;
+use crate::model::task_table::TaskTable;
 use crate::queue::dependencies::EffectiveDeadline;
-use crate::storage::chunk_records::ChunkRecords;
 use crate::time::{TimeDelta, Timestamp};
 
-/// State of the stored records of a contiguous range of a job's tasks.
-#[derive(Debug, Clone, Default)]
-pub struct Chunk {
-    /// Stored records that hold tasks of the chunk.
-    pub records: ChunkRecords,
-    /// Whether a transaction that writes any of these records is in flight.
-    pub in_flight: bool,
-    /// When the oldest planned start that is still to be written was planned.
-    pub start_due: Option<Timestamp>,
-    /// When the oldest unwritten task end was reported. The write may be deferred, or combined with
-    /// that of a start: the worker keeps an exited task until its end is written.
-    pub unpersisted_since: Option<Timestamp>,
-}
-
 /// A job that is in the scheduler's table until its records are deleted.
 #[derive(Debug, Clone)]
 pub struct Job {
@@ -52,14 +38,12 @@
     pub effective_deadline: Option<EffectiveDeadline>,
     /// Number of tasks per chunk, as fixed in the job's stored description.
     pub chunk_size: u32,
-    /// Chunks in task order.
-    pub chunks: Vec<Chunk>,
+    /// State of the stored records, by chunk.
+    pub chunks: ChunkTable,
     /// Tasks that changed since their records were last written.
     pub changed: RoaringBitmap,
     /// Tasks by index in the array.
-    pub tasks: Vec<Task>,
-    /// Tasks whose completion is written. Only then may the worker be told to forget them.
-    pub stored_completions: RoaringBitmap,
+    pub tasks: TaskTable,
     state: JobState,
     /// Number of completed tasks.
     pub done: u32,
@@ -97,7 +81,6 @@
         chunk_size: u32,
         share_class: ClassId,
     ) -> Job {
-        let chunks = spec.tasks.div_ceil(chunk_size) as usize;
         Job {
             name: name.to_owned(),
             accepted,
@@ -107,10 +90,9 @@
             share_class,
             effective_deadline: EffectiveDeadline::of(&spec, accepted),
             chunk_size,
-            chunks: vec![Chunk::default(); chunks],
+            chunks: ChunkTable::default(),
             changed: RoaringBitmap::new(),
-            tasks: vec![Task::new(now); spec.tasks as usize],
-            stored_completions: RoaringBitmap::new(),
+            tasks: TaskTable::new(spec.tasks, now),
             state: JobState::Open,
             done: 0,
             placed: 0,
@@ -199,6 +181,11 @@
         start..start.saturating_add(self.chunk_size).min(self.spec.tasks)
     }
 
+    /// Returns the number of chunks in which the job's tasks are stored.
+    pub(crate) fn chunk_count(&self) -> usize {
+        self.spec.tasks.div_ceil(self.chunk_size) as usize
+    }
+
     pub(crate) fn chunk_of(&self, index: u32) -> usize {
         (index / self.chunk_size) as usize
     }
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -403,15 +403,15 @@
         let machines = self.candidate_machines(now, job, open);
         let mut machines = machines.into_iter().peekable();
         let mut index = job.scan_from;
-        let total = job.spec.tasks;
         let mut out_of_machines = false;
         let mut placed = 0;
-        while index < total && placed < max_tasks {
+        while placed < max_tasks {
             let Some(job) = self.cluster.job(ix) else { break };
-            if job.tasks[index as usize].phase != TaskPhase::Pending {
-                index += 1;
-                continue;
-            }
+            let Some(pending) = job.tasks.next_pending(index) else {
+                index = job.spec.tasks;
+                break;
+            };
+            index = pending;
             if !self.team_allows(job) {
                 break;
             }
@@ -538,7 +538,8 @@
             };
             for &id in &m.tasks {
                 let Some(other) = self.cluster.job(id.job) else { continue };
-                match other.tasks[id.index as usize].phase {
+                let Some(task) = other.tasks.get(id.index) else { continue };
+                match task.phase {
                     TaskPhase::Stopping => entry.free.release(&other.spec),
                     TaskPhase::Running if other.priority < highest_priority || within_guarantee => {
                         let Some(&began) = other.started.get(&id.index) else { continue };
--- a/crates/scheduler/src/queue/dependencies.rs
+++ b/crates/scheduler/src/queue/dependencies.rs
@@ -16,7 +16,6 @@
 use crate::model::job::Job;
 use crate::model::job_spec::{JobEnd, JobSpec};
 use crate::model::job_state::JobEvent;
-use crate::model::task::TaskPhase;
 use crate::scheduler::Scheduler;
 use crate::time::{TimeDelta, Timestamp};
 
@@ -181,9 +180,7 @@
         }
         // If an earlier leader released the job, its earliest placement is the best known time of
         // release.
-        let placement_times =
-            job.tasks.iter().filter(|t| t.phase != TaskPhase::Pending).map(|t| t.placed_at);
-        job.ready_at = placement_times.min().unwrap_or(now);
+        job.ready_at = job.tasks.earliest_placement().unwrap_or(now);
         let (spec, released_at) = (job.spec.clone(), job.ready_at);
         let event = Event::JobReady {
             job: job.name.clone(),
--- a/crates/scheduler/src/reconciliation/absence.rs
+++ b/crates/scheduler/src/reconciliation/absence.rs
@@ -91,7 +91,7 @@
     let placed: Vec<TaskId> = reconciler.cluster.machines[machine].tasks.iter().copied().collect();
     let mut any_ended = false;
     for id in placed {
-        let Some(&task) = reconciler.cluster.task(id) else { continue };
+        let Some(task) = reconciler.cluster.task(id) else { continue };
         match Evidence::of(id, &task, heartbeat, reported) {
             Evidence::Present(entry) => {
                 if let Some(entry) = entry {
@@ -130,8 +130,9 @@
 /// attempt runs.
 fn record_running(cluster: &mut Cluster, now: Timestamp, machine: MachineIndex, id: TaskId) {
     let Some(job) = cluster.job(id.job) else { return };
+    let Some(task) = job.tasks.get(id.index) else { return };
     let image = job.spec.image.clone();
-    let began = cluster.run_started_at(now, &job.tasks[id.index as usize]);
+    let began = cluster.run_started_at(now, &task);
     if let Some(job) = cluster.jobs.get_mut(&id.job) {
         let since = *job.started.entry(id.index).or_insert(began);
         job.has_started |= now.since(since) >= STARTED_AFTER;
--- a/crates/scheduler/src/reconciliation/health.rs
+++ b/crates/scheduler/src/reconciliation/health.rs
@@ -134,7 +134,7 @@
         let remaining_s = interruption_at.since(now).as_secs_f64() * USABLE_NOTICE_FRACTION;
         for &id in &machine.tasks {
             let Some(job) = cluster.job(id.job) else { continue };
-            let task = &job.tasks[id.index as usize];
+            let Some(task) = job.tasks.get(id.index) else { continue };
             let ran_s = job.started.get(&id.index).map_or(0.0, |&at| now.since(at).as_secs_f64());
             let is_sent = !task.phase.is_unsent() && task.phase != TaskPhase::Stopping;
             let may_complete = ran_s + remaining_s >= run_times.expected_run(job);
--- a/crates/scheduler/src/reconciliation/repeated_heartbeats.rs
+++ b/crates/scheduler/src/reconciliation/repeated_heartbeats.rs
@@ -116,7 +116,7 @@
     let (name, index) = parse_task_id(&entry.task)?;
     let &job_index = cluster.jobs_by_name.get(name)?;
     let job = cluster.job(job_index)?;
-    let task = job.tasks.get(index as usize)?;
+    let task = job.tasks.get(index)?;
     let matches_cluster_state = task.phase == TaskPhase::Running
         && task.machine == machine
         && task.attempt == entry.attempt
--- a/crates/scheduler/src/reconciliation/reported_tasks.rs
+++ b/crates/scheduler/src/reconciliation/reported_tasks.rs
@@ -67,6 +67,6 @@
 fn known_task(cluster: &Cluster, name: &str) -> Option<TaskId> {
     let (job_name, index) = parse_task_id(name)?;
     let &job_index = cluster.jobs_by_name.get(job_name)?;
-    let exists = (index as usize) < cluster.job(job_index)?.tasks.len();
+    let exists = index < cluster.job(job_index)?.tasks.len();
     exists.then_some(TaskId { job: job_index, index })
 }
--- a/crates/scheduler/src/reconciliation/response.rs
+++ b/crates/scheduler/src/reconciliation/response.rs
@@ -76,14 +76,15 @@
     commands
 }
 
-/// Returns the job and the task's index if the reported attempt is placed on the machine.
+/// Returns the job and the task's phase if the reported attempt is placed on the machine, or
+/// completed there without the completion being stored.
 fn placed_task<'a>(
     cluster: &'a Cluster,
     machine: MachineIndex,
     entry: &ReportedTask,
-) -> Option<(&'a Job, u32)> {
+) -> Option<(&'a Job, TaskPhase)> {
     let id = entry.id.filter(|&id| cluster.is_placed(machine, id, entry.status.attempt))?;
-    Some((cluster.job(id.job)?, id.index))
+    Some((cluster.job(id.job)?, cluster.task(id)?.phase))
 }
 
 /// Returns a kill command if the attempt is not placed on the machine, or if its task or job is
@@ -96,9 +97,7 @@
     let grace_s = match placed_task(cluster, machine, entry) {
         None => 0.0,
         Some((job, _)) if job.is_ended() => 0.0,
-        Some((job, index)) if job.tasks[index as usize].phase == TaskPhase::Stopping => {
-            job.spec.stop_grace_s()
-        }
+        Some((job, TaskPhase::Stopping)) => job.spec.stop_grace_s(),
         Some(_) => return None,
     };
     let (task, attempt) = (entry.status.task.clone(), entry.status.attempt);
@@ -112,11 +111,8 @@
     machine: MachineIndex,
     entry: &ReportedTask,
 ) -> Option<WorkerCommand> {
-    let keep = placed_task(cluster, machine, entry).is_some_and(|(job, index)| {
-        let completion_stored = job.tasks[index as usize].phase == TaskPhase::Done
-            && job.stored_completions.contains(index);
-        !job.is_ended() && !completion_stored
-    });
+    // A task whose completion is stored no longer counts as placed.
+    let keep = placed_task(cluster, machine, entry).is_some_and(|(job, _)| !job.is_ended());
     let (task, attempt) = (entry.status.task.clone(), entry.status.attempt);
     (!keep).then_some(WorkerCommand::Reap { task, attempt })
 }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -30,7 +30,7 @@
 use crate::queue::fair_share::{self, FairShare};
 use crate::reconciliation::expiry::expire_unconfirmed_starts;
 use crate::storage::batch::{Batch, CommitEffects, StoredJobEnd};
-use crate::storage::loader::{self, DescriptionError, LoadedJob};
+use crate::storage::loader::{self, ChunkLoader, DescriptionError, LoadedJob};
 use crate::storage::transactions::{Resolution, TransactionLimits, Transactions, WriteAllowance};
 use crate::storage::write_round::WriteRound;
 use crate::time::Timestamp;
@@ -162,10 +162,24 @@
         self.add_dependencies(now, index);
     }
 
-    /// Loads the stored chunks of tasks. All chunks must be passed at once, after the jobs'
-    /// descriptions were added. Returns the keys that belong to no job or can't be decoded.
+    /// Loads all stored chunks of tasks, after the jobs' descriptions were added. Returns the keys
+    /// that belong to no job or can't be decoded.
     pub fn load_chunks(&mut self, now: Timestamp, stored: &[KeyValue]) -> Vec<String> {
-        loader::load_chunks(&mut self.cluster, now, stored)
+        let mut loader = ChunkLoader::new(now);
+        let unreadable = self.load_page(&mut loader, stored);
+        self.chunks_loaded(loader);
+        unreadable
+    }
+
+    /// Loads some of the stored chunks of tasks, after the jobs' descriptions were added. Returns
+    /// the keys that belong to no job or can't be decoded.
+    pub fn load_page(&mut self, loader: &mut ChunkLoader, stored: &[KeyValue]) -> Vec<String> {
+        loader.add(&mut self.cluster, stored)
+    }
+
+    /// Completes the load after the last page of chunks.
+    pub fn chunks_loaded(&mut self, loader: ChunkLoader) {
+        loader.finish(&mut self.cluster);
     }
 
     /// Advances the scheduler to `now`: runs a round if one is due, and sends or resends what is
--- a/crates/scheduler/src/storage/batch.rs
+++ b/crates/scheduler/src/storage/batch.rs
@@ -152,14 +152,16 @@
         encoded: EncodedTasks,
     ) -> Result<(), LostTask> {
         let TaskRecordId { chunk: ChunkId { chunk, .. }, part } = id;
-        let records = &job.chunks[chunk].records;
+        let records = job.chunks.records(chunk);
         let is_rewritten = |task| self.rewrites(id.chunk, task);
-        if let Some(task) = records.task_lost_by(part, encoded.tasks(), is_rewritten) {
+        let lost = records.and_then(|r| r.task_lost_by(part, encoded.tasks(), is_rewritten));
+        if let Some(task) = lost {
             return Err(LostTask(task));
         }
+        let revision = |key: PartKey| records.map_or(Revision::NONE, |r| r.revision(key));
         let key = keys::task_record(&job.name, chunk, part);
-        self.compare(&keys::run(&job.name, chunk), records.revision(None));
-        self.compare(&key, records.revision(part));
+        self.compare(&keys::run(&job.name, chunk), revision(None));
+        self.compare(&key, revision(part));
         // No task may be dispatched after its job's cancellation was confirmed, so the write itself
         // requires that the job has no end.
         self.compare(&keys::end(&job.name), Revision::NONE);
@@ -225,17 +227,18 @@
     ) -> CommitEffects {
         for ChunkId { job, chunk } in &self.chunks {
             if let Some(job) = cluster.jobs.get_mut(job) {
-                job.chunks[*chunk].in_flight = false;
+                job.chunks.update_writes(*chunk, |writes| writes.in_flight = false);
             }
         }
         for TaskRecordWrite { id: TaskRecordId { chunk, part }, tasks } in self.records {
             if let Some(job) = cluster.jobs.get_mut(&chunk.job) {
-                job.chunks[chunk.chunk].records.insert(part, StoredRecord { tasks, revision });
+                let records = job.chunks.records_mut(chunk.chunk);
+                records.insert(part, StoredRecord { tasks, revision });
             }
         }
         for TaskId { job, index } in self.completions {
             if let Some(job) = cluster.jobs.get_mut(&job) {
-                job.stored_completions.insert(index);
+                job.tasks.completion_stored(index);
             }
         }
         let ends = self.ends.iter().filter_map(|ending| stored_end(cluster, now, ending)).collect();
@@ -252,8 +255,10 @@
     pub(crate) fn not_executed(self, cluster: &mut Cluster, now: Timestamp) -> Vec<TaskStart> {
         for ChunkId { job, chunk } in self.chunks {
             if let Some(job) = cluster.jobs.get_mut(&job) {
-                job.chunks[chunk].in_flight = false;
-                job.chunks[chunk].unpersisted_since.get_or_insert(now);
+                job.chunks.update_writes(chunk, |writes| {
+                    writes.in_flight = false;
+                    writes.unpersisted_since.get_or_insert(now);
+                });
             }
         }
         for TaskId { job, index } in self.changed {
--- a/crates/scheduler/src/storage/chunk_records.rs
+++ b/crates/scheduler/src/storage/chunk_records.rs
@@ -73,16 +73,18 @@
         is_rewritten: impl Fn(u32) -> bool,
     ) -> Option<u32> {
         let replaced = self.get(key)?;
-        let is_in_newer_record = |task: u32| {
-            let mut records = self.iter();
-            records
-                .any(|(_, other)| other.revision > replaced.revision && other.tasks.contains(&task))
-        };
-        replaced.tasks.clone().find(|task| {
-            !tasks.contains(task) && !is_rewritten(*task) && !is_in_newer_record(*task)
+        replaced.tasks.clone().find(|&task| {
+            let is_written = tasks.contains(&task) || is_rewritten(task);
+            !is_written && !self.has_newer(task, replaced.revision)
         })
     }
 
+    /// Returns whether a record of a higher revision holds the task.
+    pub(crate) fn has_newer(&self, task: u32, revision: Revision) -> bool {
+        let mut records = self.iter();
+        records.any(|(_, other)| other.revision > revision && other.tasks.contains(&task))
+    }
+
     fn get(&self, key: PartKey) -> Option<&StoredRecord> {
         match key {
             None => self.whole.as_ref(),
--- a/crates/scheduler/src/storage/chunk_writes.rs
+++ b/crates/scheduler/src/storage/chunk_writes.rs
@@ -14,9 +14,10 @@
 use std::collections::BTreeSet;
 use std::ops::Range;
 
+use crate::model::chunk_table::ChunkWrites;
 use crate::model::cluster::Cluster;
 use crate::model::ids::TaskId;
-use crate::model::job::{Chunk, Job};
+use crate::model::job::Job;
 use crate::model::start::TaskStart;
 use crate::model::task::TaskPhase;
 use crate::storage::batch::{Batch, ChunkId, LostTask, TaskRecordId};
@@ -58,10 +59,7 @@
         let firsts: BTreeSet<u32> = changed.map(|task| windows.around(task).start).collect();
         if firsts.is_empty() {
             // Every change of the chunk is already stored, so there is no write to wait for.
-            if let Some(chunk) = self.chunk_mut(id) {
-                (chunk.start_due, chunk.unpersisted_since) = (None, None);
-            }
-            return;
+            return self.update_writes(id, ChunkWrites::nothing_waits);
         }
         for first in firsts {
             if self.add_part(id, windows, first, nonce).is_err() {
@@ -103,7 +101,7 @@
         for index in tasks {
             note_task(self.batch, job, id, index);
         }
-        match job.chunks[id.chunk].start_due {
+        match job.chunks.writes(id.chunk).start_due {
             Some(_) => self.transactions.count_starts_written(),
             None => self.transactions.count_task_states_written(),
         }
@@ -111,17 +109,19 @@
 
     /// Marks the chunk as having writes in the batch.
     fn mark_in_flight(&mut self, id: ChunkId, batched: BatchedChanges) {
-        if let Some(chunk) = self.chunk_mut(id) {
-            chunk.in_flight = true;
+        self.update_writes(id, |writes| {
+            writes.in_flight = true;
             if batched == BatchedChanges::All {
-                (chunk.start_due, chunk.unpersisted_since) = (None, None);
+                writes.nothing_waits();
             }
-        }
+        });
         self.batch.note_chunk(id);
     }
 
-    fn chunk_mut(&mut self, id: ChunkId) -> Option<&mut Chunk> {
-        self.cluster.jobs.get_mut(&id.job)?.chunks.get_mut(id.chunk)
+    fn update_writes(&mut self, id: ChunkId, update: impl FnOnce(&mut ChunkWrites)) {
+        if let Some(job) = self.cluster.jobs.get_mut(&id.job) {
+            job.chunks.update_writes(id.chunk, update);
+        }
     }
 }
 
@@ -154,12 +154,14 @@
 
 fn note_task(batch: &mut Batch, job: &mut Job, chunk: ChunkId, index: u32) {
     let id = TaskId { job: chunk.job, index };
-    let task = &job.tasks[index as usize];
-    if task.phase == TaskPhase::Done && !job.stored_completions.contains(index) {
-        batch.note_completion(id);
-    }
-    if task.phase == TaskPhase::Planned {
-        batch.note_start(TaskStart { task: id, placement: task.placement() });
+    // Only tasks with an entry have a start or a completion that isn't stored.
+    if let Some(task) = job.tasks.entry(index) {
+        if task.phase == TaskPhase::Done {
+            batch.note_completion(id);
+        }
+        if task.phase == TaskPhase::Planned {
+            batch.note_start(TaskStart { task: id, placement: task.placement() });
+        }
     }
     if job.changed.remove(index) {
         batch.note_changed(id);
--- a/crates/scheduler/src/storage/deletion.rs
+++ b/crates/scheduler/src/storage/deletion.rs
@@ -39,7 +39,7 @@
     job.apply(JobEvent::DeletionStarted);
     delete_chunks(batch, job, max_operations);
     let parts = delete_parts(batch, job, max_operations);
-    let records_remain = job.chunks.iter().any(|chunk| !chunk.records.is_empty());
+    let records_remain = job.chunks.has_records();
     let is_complete = !records_remain && !batch.is_full(max_operations);
     if is_complete {
         batch.delete(keys::description(&job.name, !job.spec.dependencies.is_empty()));
@@ -49,26 +49,28 @@
 }
 
 fn is_deletable(job: &Job) -> bool {
-    job.may_delete_records() && job.placed == 0 && !job.chunks.iter().any(|chunk| chunk.in_flight)
+    job.may_delete_records() && job.placed == 0 && !job.chunks.any_in_flight()
 }
 
 fn delete_chunks(batch: &mut Batch, job: &mut Job, max_operations: usize) {
-    for (number, chunk) in job.chunks.iter_mut().enumerate() {
-        if !batch.is_full(max_operations) && chunk.records.remove_whole() {
-            batch.delete(keys::run(&job.name, number));
+    let name = &job.name;
+    job.chunks.update_records(|number, records| {
+        if !batch.is_full(max_operations) && records.remove_whole() {
+            batch.delete(keys::run(name, number));
         }
-    }
+    });
 }
 
 fn delete_parts(batch: &mut Batch, job: &mut Job, max_operations: usize) -> Vec<PartId> {
     let mut deleted = Vec::new();
-    for (number, chunk) in job.chunks.iter_mut().enumerate() {
+    let name = &job.name;
+    job.chunks.update_records(|number, records| {
         while !batch.is_full(max_operations) {
-            let Some(part) = chunk.records.pop_first_part() else { break };
-            batch.delete(keys::task_record(&job.name, number, part));
+            let Some(part) = records.pop_first_part() else { break };
+            batch.delete(keys::task_record(name, number, part));
             deleted.push((number, part));
         }
-    }
+    });
     deleted
 }
 
@@ -88,11 +90,11 @@
         let Some(job) = cluster.jobs.get_mut(&self.job) else { return };
         job.apply(JobEvent::DeletionIncomplete);
         // It is unknown which chunks still exist; deleting a missing key has no effect.
-        let chunks = (0..job.chunks.len()).map(|chunk| (chunk, None));
+        let chunks = (0..job.chunk_count()).map(|chunk| (chunk, None));
         let deleted = self.parts.into_iter().chain(chunks);
         for (chunk, part) in deleted.collect::<Vec<PartId>>() {
             let tasks = job.chunk_tasks(chunk);
-            let records = &mut job.chunks[chunk].records;
+            let records = job.chunks.records_mut(chunk);
             if records.revision(part) == Revision::NONE {
                 records.insert(part, StoredRecord { tasks, revision: Revision::UNKNOWN });
             }
--- a/crates/scheduler/src/storage/records.rs
+++ b/crates/scheduler/src/storage/records.rs
@@ -42,8 +42,7 @@
     tasks: Range<u32>,
     value_bytes: usize,
 ) -> u32 {
-    let tasks = job.tasks[tasks.start as usize..tasks.end as usize].iter();
-    let placed = tasks.filter(|task| task.phase.placed());
+    let placed = job.tasks.range(tasks).filter(|task| task.phase.placed());
     let longest_name = placed.map(|task| cluster.machines[task.machine].name.len()).max();
     let record_bytes = MIN_RECORD_BYTES.max(longest_name.unwrap_or(0) + RECORD_BYTES_WITHOUT_NAME);
     (value_bytes.saturating_sub(96) / record_bytes).clamp(1, 200) as u32
@@ -123,8 +122,8 @@
         tasks: Range<u32>,
         nonce: &str,
     ) -> EncodedTasks {
-        let states = job.tasks[tasks.start as usize..tasks.end as usize].iter();
-        let states = states.map(|task| TaskRecord::new(cluster, job, task)).collect();
+        let states = job.tasks.range(tasks.clone());
+        let states = states.map(|task| TaskRecord::new(cluster, job, &task)).collect();
         EncodedTasks { tasks, value: Document::new(&ChunkRecord { tasks: states, nonce }) }
     }
 
--- a/crates/scheduler/src/storage/write_round.rs
+++ b/crates/scheduler/src/storage/write_round.rs
@@ -66,7 +66,7 @@
             } else if job.state().is_dependency_cancelled() {
                 continue;
             } else if job.done == job.spec.tasks {
-                if !job.state().is_writing_end() && !job.chunks.iter().any(|c| c.in_flight) {
+                if !job.state().is_writing_end() && !job.chunks.any_in_flight() {
                     pending.done.push(index);
                 }
             } else {
@@ -77,7 +77,7 @@
     }
 
     fn add_chunks(&mut self, index: JobIndex, job: &Job, tunables: &Tunables, now: Timestamp) {
-        for (number, chunk) in job.chunks.iter().enumerate().filter(|(_, c)| !c.in_flight) {
+        for (number, chunk) in job.chunks.all_writes().filter(|(_, writes)| !writes.in_flight) {
             if let Some(due) = chunk.start_due {
                 let priority = Reverse(job.priority);
                 self.starts.push(PlannedStarts { priority, due, job: index, chunk: number });
--- a/crates/scheduler/tests/fleet_size.rs
+++ b/crates/scheduler/tests/fleet_size.rs
@@ -167,7 +167,8 @@
         world.wait(1_000);
         world.settle();
     }
-    let chunks: usize = world.leader.cluster.jobs.values().map(|job| job.chunks.len()).sum();
+    let chunks: usize =
+        world.leader.cluster.jobs.values().map(|job| job.chunks.recorded_count()).sum();
     let written = (world.store.store_revision.get() - written.get()) as usize;
     assert!(written <= 2 * chunks, "{written} transactions for {chunks} records");
     let recorded: usize =
@@ -196,7 +197,8 @@
         refuse(&mut world);
     }
     assert_eq!(running_tasks(&world), 0);
-    let chunks: usize = world.leader.cluster.jobs.values().map(|job| job.chunks.len()).sum();
+    let chunks: usize =
+        world.leader.cluster.jobs.values().map(|job| job.chunks.recorded_count()).sum();
     let written = world.store.store_revision;
     for _ in 0..60 {
         world.wait(500);
--- a/crates/scheduler/tests/golden_bytes.rs
+++ b/crates/scheduler/tests/golden_bytes.rs
@@ -205,7 +205,7 @@
 /// Formats every field of every task of a job, in words that are independent of names in the code.
 fn format_tasks(world: &World, name: &str) -> String {
     let job = world.leader.cluster.job(world.leader.cluster.jobs_by_name[name]).expect("the job");
-    let line = |task: &walnutlug_scheduler::model::task::Task| {
+    let line = |task: walnutlug_scheduler::model::task::Task| {
         let place = match task.phase.placed() {
             true => world.leader.cluster.machines[task.machine].name.as_str(),
             false => "nowhere",
--- /dev/null
+++ b/crates/scheduler/tests/large_arrays.rs
@@ -0,0 +1,109 @@
+//! Memory of a leader and of its successors that hold many arrays of the largest size.
+
+mod world;
+
+use std::alloc::System;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use serde_json::{json, Value};
+use stats_alloc::{Region, StatsAlloc, INSTRUMENTED_SYSTEM};
+use walnutlug_scheduler::leadership::fencing_token::Term;
+use walnutlug_scheduler::model::job_spec::{JobSpec, Priority};
+use walnutlug_scheduler::protocol::key_value::KeyValue;
+use walnutlug_scheduler::scheduler::Scheduler;
+use walnutlug_scheduler::storage::keys;
+use walnutlug_scheduler::storage::loader::ChunkLoader;
+use walnutlug_scheduler::storage::records::chunk_size;
+use walnutlug_scheduler::storage::revision::Revision;
+use world::{site, spec, types, World};
+
+/// Counts the memory that the tests of this file allocate.
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+const ARRAYS: usize = 20;
+/// The largest number of tasks that a submission may have.
+const TASKS: u32 = 100_000;
+/// A quarter of the memory of the smallest controllers.
+const MAX_HELD_BYTES: usize = 46 * 1024 * 1024 / 4;
+/// Records in one page of a read of the store, whose pages hold 512 KiB.
+const PAGE_RECORDS: usize = 128;
+
+/// Makes the tests run one at a time, since the allocator counts for all of them.
+fn run_alone() -> MutexGuard<'static, ()> {
+    static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+    ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn array_name(index: usize) -> String {
+    format!("req-{index:06}")
+}
+
+fn array() -> JobSpec {
+    JobSpec { cpus: 8.0, ..spec(TASKS) }
+}
+
+/// Returns the memory that the scheduler held.
+fn drop_counted(scheduler: Scheduler) -> usize {
+    let region = Region::new(ALLOCATOR);
+    drop(scheduler);
+    region.change().bytes_deallocated
+}
+
+fn empty_scheduler(world: &World, term: Term) -> Scheduler {
+    let (site, tunables) = (world.leader.site.clone(), world.leader.tunables.clone());
+    Scheduler::new(site, tunables, term, types(), world.now)
+}
+
+/// Guards against leaders that are ended for memory one after the other while an accepted urgent
+/// job waits: each held every task of each accepted array, placed or not.
+#[test]
+fn many_accepted_arrays_fit_into_a_small_controller_beside_an_urgent_job() {
+    let _alone = run_alone();
+    let mut world = World::new(&[("n-1", "a"), ("n-2", "b")]);
+    for index in 0..ARRAYS {
+        world.submit(&array_name(index), &array());
+    }
+    let urgent = JobSpec { priority: Priority::High, deadline_s: Some(20.0), ..spec(1) };
+    world.submit("req-900000", &urgent);
+    world.settle();
+    assert_eq!(world.places_of("req-900000/0").len(), 1, "the urgent job runs");
+    let former_leader = world.take_over();
+    for scheduler in [former_leader, empty_scheduler(&world, world.leader.term)] {
+        let leader = std::mem::replace(&mut world.leader, scheduler);
+        let held = drop_counted(leader);
+        assert!(held < MAX_HELD_BYTES, "{held} bytes for {ARRAYS} arrays");
+    }
+}
+
+/// Returns the record of a chunk whose tasks are all done.
+fn completed_chunk(array: usize, chunk: usize, tasks: u32) -> KeyValue {
+    let value = json!({"t": vec![json!([5, 1]); tasks as usize], "w": "1-1"});
+    KeyValue { key: keys::run(&array_name(array), chunk), value, revision: Revision(7) }
+}
+
+#[test]
+fn successor_holds_a_completed_task_as_a_bit() {
+    let _alone = run_alone();
+    let mut world = World::new(&[("n-1", "a")]);
+    let size = chunk_size(site().value_bytes);
+    for index in 0..ARRAYS {
+        let _: Value = world.store_job(&array_name(index), &array(), size);
+    }
+    world.take_over();
+    let mut loader = ChunkLoader::new(world.now);
+    for index in 0..ARRAYS {
+        let chunks: Vec<usize> = (0..TASKS.div_ceil(size) as usize).collect();
+        for page in chunks.chunks(PAGE_RECORDS) {
+            let tasks = |chunk: usize| size.min(TASKS - chunk as u32 * size);
+            let page: Vec<KeyValue> =
+                page.iter().map(|&chunk| completed_chunk(index, chunk, tasks(chunk))).collect();
+            assert!(world.leader.load_page(&mut loader, &page).is_empty(), "readable records");
+        }
+    }
+    world.leader.chunks_loaded(loader);
+    assert!(world.leader.cluster.jobs.values().all(|job| job.done == TASKS));
+    let next = empty_scheduler(&world, world.leader.term);
+    let held = drop_counted(std::mem::replace(&mut world.leader, next));
+    assert!(held < MAX_HELD_BYTES, "{held} bytes for {ARRAYS} completed arrays");
+}
--- a/crates/scheduler/tests/storage_limits.rs
+++ b/crates/scheduler/tests/storage_limits.rs
@@ -45,8 +45,8 @@
     let former_leader = w.take_over();
     for (task, machines) in places {
         let job_index = w.leader.cluster.jobs_by_name[JOB];
-        let index: usize = task.rsplit_once('/').and_then(|t| t.1.parse().ok()).expect("a task");
-        let known = &w.leader.cluster.job(job_index).expect("job").tasks[index];
+        let index: u32 = task.rsplit_once('/').and_then(|t| t.1.parse().ok()).expect("a task");
+        let known = w.leader.cluster.job(job_index).expect("job").tasks.get(index).expect("task");
         assert!(
             known.phase.placed() || known.phase == TaskPhase::Done,
             "the new leader does not know that {task} is on {machines:?}"
--- a/crates/scheduler/tests/task_starts.rs
+++ b/crates/scheduler/tests/task_starts.rs
@@ -664,7 +664,8 @@
     w.place_and_record();
     let task = format!("{JOB}/0");
     let ix = w.leader.cluster.jobs_by_name[JOB];
-    let planned_machine = w.leader.cluster.job(ix).expect("job").tasks[0].machine;
+    let planned_machine =
+        w.leader.cluster.job(ix).expect("job").tasks.get(0).expect("task").machine;
     let planned_machine = w.leader.cluster.machines[planned_machine].name.clone();
     let other = if planned_machine == "n-1" { "n-2" } else { "n-1" };
     let worker = w.workers.get_mut(other).expect("worker");
--- a/crates/scheduler/tests/world/known_tasks.rs
+++ b/crates/scheduler/tests/world/known_tasks.rs
@@ -113,7 +113,7 @@
 fn known_task(scheduler: &Scheduler, name: &str) -> Option<SentTask> {
     let (job, index) = parse_task_id(name)?;
     let job = scheduler.cluster.job(*scheduler.cluster.jobs_by_name.get(job)?)?;
-    let task = job.tasks.get(index as usize).filter(|task| task.phase.placed())?;
+    let task = job.tasks.get(index).filter(|task| task.phase.placed())?;
     Some(SentTask {
         task: name.to_owned(),
         attempt: task.attempt,
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -479,12 +479,26 @@
 
     pub fn phase(&self, name: &str, index: usize) -> walnutlug_scheduler::model::task::TaskPhase {
         let ix = self.leader.cluster.jobs_by_name[name];
-        self.leader.cluster.job(ix).expect("an open job").tasks[index].phase
+        self.leader
+            .cluster
+            .job(ix)
+            .expect("an open job")
+            .tasks
+            .get(index as u32)
+            .expect("task")
+            .phase
     }
 
     pub fn attempt(&self, name: &str, index: usize) -> Attempt {
         let ix = self.leader.cluster.jobs_by_name[name];
-        self.leader.cluster.job(ix).expect("an open job").tasks[index].attempt
+        self.leader
+            .cluster
+            .job(ix)
+            .expect("an open job")
+            .tasks
+            .get(index as u32)
+            .expect("task")
+            .attempt
     }
 
     /// Returns the first fencing token of the leader's term.
