Records are read a page at a time after a failover, in reconciliation and look-ups

Cause: `KeyValueClient::list` kept all pairs below a prefix as decoded JSON until the last page was read. At a failover that were all descriptions and all task records of all jobs at once; a finished task, a bit in the table, takes about a hundred bytes as a JSON value. A successor could so fail to load what its predecessor held.

Change: `PageReader` hands out one page at a time; a page that can't be read is asked for again instead of the whole list. The requests are the same (golden bytes unchanged).

--- a/crates/controller/src/key_value_client.rs
+++ b/crates/controller/src/key_value_client.rs
@@ -6,6 +6,7 @@
 mod error;
 mod health;
 mod limits;
+mod page_reader;
 mod rate_limiter;
 mod request;
 
@@ -20,13 +21,14 @@
 use walnutlug_scheduler::command::TransactionOutcome;
 use walnutlug_scheduler::model::job_spec::JobEnd;
 use walnutlug_scheduler::protocol::key_value::{
-    Committed, Conflict, KeyValue, LeaseGrant, Page, Transaction, Watched,
+    Committed, Conflict, KeyValue, LeaseGrant, Transaction, Watched,
 };
 use walnutlug_scheduler::storage::keys;
 use walnutlug_scheduler::storage::revision::Revision;
 
 pub(crate) use error::{InvalidResponse, KeyValueError, Rejection, UnknownOutcome};
 pub(crate) use limits::Limits;
+pub(crate) use page_reader::PageReader;
 pub(crate) use rate_limiter::{RequestClass, WriteAllowance};
 pub(crate) use request::StoreRequest;
 
@@ -45,16 +47,6 @@
 /// Text in the store's answer to a put under a lease that has expired.
 const NO_SUCH_LEASE: &str = "no such lease";
 
-/// All key-value pairs below a prefix, with the revision of the listing.
-#[derive(Debug)]
-pub(crate) struct Listing {
-    /// The pairs, sorted by key.
-    pub(crate) key_values: Vec<KeyValue>,
-    /// Revision from which to watch the prefix. It is the revision of the first page, so that a
-    /// watch includes all changes made while later pages were read.
-    pub(crate) store_revision: Revision,
-}
-
 /// Client of the key-value store, shared by all tasks of a node.
 pub(crate) struct KeyValueClient {
     client: Rc<Client>,
@@ -284,28 +276,8 @@
     }
 
     /// Lists all key-value pairs below a prefix, page by page.
-    pub(crate) async fn list(
-        &self,
-        class: RequestClass,
-        prefix: &str,
-    ) -> Result<Listing, KeyValueError> {
-        let mut key_values: Vec<KeyValue> = Vec::new();
-        let mut first_revision = None;
-        loop {
-            let from = key_values.last().map(|last| last.key.clone());
-            let request = StoreRequest::List { prefix: prefix.to_owned(), from };
-            let response = self.send(class, &request, b"").await?;
-            if response.status != 200 {
-                return Err(unexpected_status(request, &response));
-            }
-            let page: Page = decode_body(request, &response)?;
-            let store_revision = *first_revision.get_or_insert(page.store_revision);
-            let is_last = !page.more || page.key_values.is_empty();
-            key_values.extend(page.key_values);
-            if is_last {
-                return Ok(Listing { key_values, store_revision });
-            }
-        }
+    pub(crate) fn list(&self, class: RequestClass, prefix: &str) -> PageReader<'_> {
+        PageReader::new(self, class, prefix)
     }
 
     /// Commits a compare-and-swap transaction. A transaction without operations only evaluates its
--- a/crates/controller/src/key_value_client/golden_tests.rs
+++ b/crates/controller/src/key_value_client/golden_tests.rs
@@ -72,8 +72,12 @@
         (200, r#"{"pairs":[{"key":"c/7","value":1,"mark":3}],"hasNext":true,"growth":431}"#),
         (200, r#"{"pairs":[{"key":"c/8","value":2,"mark":4}],"hasNext":false,"growth":439}"#),
     ]);
-    let Listing { key_values, store_revision } =
-        listed.client.list(RequestClass::Poll, "c/").await.expect("a list");
+    let mut pages = listed.client.list(RequestClass::Poll, "c/");
+    let mut key_values = Vec::new();
+    while let Some(page) = pages.next_page().await.expect("a page") {
+        key_values.extend(page);
+    }
+    let store_revision = pages.store_revision();
     let revisions: Vec<(&str, Revision)> =
         key_values.iter().map(|pair| (pair.key.as_str(), pair.revision)).collect();
     assert!(
--- a/crates/controller/src/node/fleet_role.rs
+++ b/crates/controller/src/node/fleet_role.rs
@@ -16,7 +16,7 @@
 use walnutlug_scheduler::protocol::cloud::ScaleOutRequest;
 use walnutlug_scheduler::scheduler::Scheduler;
 
-use super::leader::{list_until_answered, with_scheduler};
+use super::leader::{next_page_until_answered, with_scheduler};
 use super::step_down::StepDownCause;
 use super::Node;
 use crate::cloud_client::CloudError;
@@ -76,7 +76,11 @@
     };
     // Every write requires the current term, so no intent of an earlier term can be stored after
     // this read.
-    let stored = list_until_answered(node, INTENT_PREFIX).await?.key_values;
+    let mut pages = node.key_value.list(RequestClass::Dispatch, INTENT_PREFIX);
+    let mut stored = Vec::new();
+    while let Some(page) = next_page_until_answered(&mut pages).await? {
+        stored.extend(page);
+    }
     let listed_within = node.site.list_lag.mul_f64(LISTED_AFTER_LAGS);
     let fence = Fence::new(LeasedRole::Fleet, epoch);
     let mut intent_log = IntentLog::new(fence, write_limits(node), listed_within);
--- a/crates/controller/src/node/leader.rs
+++ b/crates/controller/src/node/leader.rs
@@ -9,7 +9,7 @@
 mod reconciling;
 mod watches;
 
-pub(super) use loading::list_until_answered;
+pub(super) use loading::next_page_until_answered;
 
 use std::cell::Cell;
 use std::rc::Rc;
--- a/crates/controller/src/node/leader/loading.rs
+++ b/crates/controller/src/node/leader/loading.rs
@@ -7,18 +7,20 @@
 use tokio::time::{sleep, Duration, Instant};
 use tracing::{info, warn};
 use walnutlug_scheduler::leadership::election::ElectionEvent;
+use walnutlug_scheduler::protocol::key_value::KeyValue;
 use walnutlug_scheduler::scheduler::Scheduler;
 use walnutlug_scheduler::storage::keys;
+use walnutlug_scheduler::storage::loader::ChunkLoader;
 use walnutlug_scheduler::time::Timestamp;
 
 use super::{install_scheduler, job_ends, machine_list, reconciling, watches};
-use crate::key_value_client::{KeyValueError, Listing, RequestClass, StoreRequest};
+use crate::key_value_client::{KeyValueError, PageReader, RequestClass, StoreRequest};
 use crate::node::{fleet_role, Node};
 use crate::peers::MachineAddress;
 
 /// Pause before a failed read is repeated.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
-/// Number of times that a failed list request is repeated.
+/// Number of times that a failed read of a page is repeated.
 const MAX_RETRIES: u32 = 21;
 
 /// Loads the records, puts the scheduler into use and starts the tasks that keep it up to date.
@@ -74,23 +76,28 @@
     node: &Rc<Node>,
     scheduler: &mut Scheduler,
 ) -> Result<LoadedRecords, KeyValueError> {
-    let Listing { key_values: descriptions, store_revision } =
-        list_until_answered(node, keys::DESCRIPTIONS).await?;
-    let Listing { key_values: runs, .. } = list_until_answered(node, keys::RUN).await?;
-    let (read_at, wall_clock_us) = (node.now(), node.wall_clock_us());
-    for description in &descriptions {
-        if let Some(job) = keys::described_job(&description.key) {
-            // The scheduler logs an unreadable description and skips its job.
-            let _ = scheduler.add_job(read_at, job, &description.value, wall_clock_us);
+    let mut descriptions = node.key_value.list(RequestClass::Dispatch, keys::DESCRIPTIONS);
+    while let Some(page) = next_page_until_answered(&mut descriptions).await? {
+        let (now, wall_clock_us) = (node.now(), node.wall_clock_us());
+        for description in &page {
+            if let Some(job) = keys::described_job(&description.key) {
+                // The scheduler logs an unreadable description and skips its job.
+                let _ = scheduler.add_job(now, job, &description.value, wall_clock_us);
+            }
         }
     }
-    for key in scheduler.load_chunks(read_at, &runs) {
-        // Descriptions are deleted last, so a run without one means that the records were damaged
-        // from outside. The scheduler does not know its tasks and stops them when a worker reports
-        // them.
-        warn!(%key, "stored task run ignored: its job does not exist");
+    let mut runs = node.key_value.list(RequestClass::Dispatch, keys::RUN);
+    let mut loader = ChunkLoader::new(node.now());
+    while let Some(page) = next_page_until_answered(&mut runs).await? {
+        for key in scheduler.load_page(&mut loader, &page) {
+            // Descriptions are deleted last, so a run without one means that the records were
+            // damaged from outside. The scheduler does not know its tasks and stops them when a
+            // worker reports them.
+            warn!(%key, "stored task run ignored: its job does not exist");
+        }
     }
-    Ok(LoadedRecords { read_at, store_revision })
+    scheduler.chunks_loaded(loader);
+    Ok(LoadedRecords { read_at: node.now(), store_revision: descriptions.store_revision() })
 }
 
 /// Removes the jobs that have ended from the scheduler.
@@ -125,20 +132,18 @@
     );
 }
 
-/// Lists all keys under the prefix together with the store's revision, and retries for some
-/// seconds.
+/// Reads the next page of a listing, and retries for some seconds.
 ///
 /// # Errors
 /// Returns an error if the key-value store does not respond within that time.
-pub(in crate::node) async fn list_until_answered(
-    node: &Rc<Node>,
-    prefix: &str,
-) -> Result<Listing, KeyValueError> {
+pub(in crate::node) async fn next_page_until_answered(
+    pages: &mut PageReader<'_>,
+) -> Result<Option<Vec<KeyValue>>, KeyValueError> {
     for _ in 0..MAX_RETRIES {
-        if let Ok(found) = node.key_value.list(RequestClass::Dispatch, prefix).await {
-            return Ok(found);
+        if let Ok(page) = pages.next_page().await {
+            return Ok(page);
         }
         sleep(RETRY_PAUSE).await;
     }
-    node.key_value.list(RequestClass::Dispatch, prefix).await
+    pages.next_page().await
 }
--- a/crates/controller/src/node/leader/reconciling.rs
+++ b/crates/controller/src/node/leader/reconciling.rs
@@ -11,7 +11,7 @@
 use walnutlug_scheduler::storage::keys;
 
 use super::job_ends;
-use crate::key_value_client::{KeyValueError, Listing, RequestClass};
+use crate::key_value_client::{KeyValueError, RequestClass};
 use crate::node::Node;
 
 /// Interval at which a leader reads the records again.
@@ -39,15 +39,15 @@
 /// # Errors
 /// Returns an error if the records cannot be read.
 pub(super) async fn reconcile_once(node: &Rc<Node>, term: Term) -> Result<(), KeyValueError> {
-    let Listing { key_values: descriptions, .. } =
-        node.key_value.list(RequestClass::Poll, keys::DESCRIPTIONS).await?;
-    let open = {
-        let mut scheduler = node.scheduler.borrow_mut();
-        let current = scheduler.as_mut().filter(|scheduler| scheduler.term == term);
-        let Some(scheduler) = current else { return Ok(()) };
-        add_missing_jobs(node, scheduler, &descriptions);
-        jobs_to_look_up(scheduler)
-    };
+    let mut descriptions = node.key_value.list(RequestClass::Poll, keys::DESCRIPTIONS);
+    while let Some(page) = descriptions.next_page().await? {
+        let add = |scheduler: &mut Scheduler| add_missing_jobs(node, scheduler, &page);
+        if with_scheduler_in_term(node, term, add).is_none() {
+            return Ok(());
+        }
+    }
+    let open = with_scheduler_in_term(node, term, |scheduler| jobs_to_look_up(scheduler));
+    let Some(open) = open else { return Ok(()) };
     for job in job_ends::find_ended(node, open).await? {
         if let Some(end) = node.key_value.job_end(&job).await? {
             node.record_job_end(&job, end);
@@ -57,6 +57,16 @@
     Ok(())
 }
 
+/// Calls `action` with the scheduler, if this node still leads in the term.
+fn with_scheduler_in_term<T>(
+    node: &Node,
+    term: Term,
+    action: impl FnOnce(&mut Scheduler) -> T,
+) -> Option<T> {
+    let mut scheduler = node.scheduler.borrow_mut();
+    scheduler.as_mut().filter(|scheduler| scheduler.term == term).map(action)
+}
+
 fn add_missing_jobs(node: &Node, scheduler: &mut Scheduler, descriptions: &[KeyValue]) {
     let (now, wall_clock_us) = (node.now(), node.wall_clock_us());
     for description in descriptions {
--- a/crates/controller/src/user_api/job_lookup.rs
+++ b/crates/controller/src/user_api/job_lookup.rs
@@ -208,9 +208,12 @@
             }
             return Ok(());
         }
-        for found in key_value.list(self.class, keys::CHAINED).await?.key_values {
-            if let Some(name) = found.key.strip_prefix(keys::CHAINED) {
-                known_jobs.record_dependencies(name, dependencies_in(&found.value));
+        let mut chained = key_value.list(self.class, keys::CHAINED);
+        while let Some(page) = chained.next_page().await? {
+            for found in page {
+                if let Some(name) = found.key.strip_prefix(keys::CHAINED) {
+                    known_jobs.record_dependencies(name, dependencies_in(&found.value));
+                }
             }
         }
         for name in names {
