Jobs that a leader and its successors have no memory for are not accepted

Cause: every node accepted any number of jobs.

Change: `model::footprint` bounds what a job may take by its description; the leader tells the nodes the sum of its jobs (frame 18), and `admission::job_memory` lets each node accept an equal part of what is left of half of `mem_mb`. Beyond it: 503 with Retry-After, the reason in the log. The leader logs once a minute how many entries it holds by kind, beside what the process holds.

Frames that existed keep their bytes.

--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -138,7 +138,7 @@
             leadership: RefCell::default(),
             scheduler: RefCell::default(),
             machine_types: RefCell::default(),
-            user_api: UserApi::default(),
+            user_api: UserApi::new(settings.job_memory_bytes, settings.peers.len() + 1),
             delegation,
             watch_wakeup: Notify::new(),
             identity,
--- a/crates/controller/src/node/broadcast.rs
+++ b/crates/controller/src/node/broadcast.rs
@@ -14,7 +14,7 @@
 use walnutlug_scheduler::scheduler::Scheduler;
 
 use super::Node;
-use crate::peers::{Frame, MachineAddress, NodeStatus, MAX_MACHINES};
+use crate::peers::{Frame, HeldJobs, MachineAddress, NodeStatus, MAX_MACHINES};
 
 /// Number of broadcasts after which the redirect count is reset.
 const BROADCASTS_PER_REDIRECT_COUNT: u32 = 6;
@@ -48,6 +48,7 @@
             if let Some(scheduler) = node.scheduler.borrow().as_ref() {
                 broadcast_progress(&node, scheduler);
                 broadcast_addresses(&node, scheduler);
+                broadcast_held_jobs(&node, scheduler);
             }
         }
         let probing_node = node.clone();
@@ -103,6 +104,17 @@
     }
 }
 
+/// Tells the peers how much memory the jobs may take, and records it for this node. A leader that
+/// the store doesn't answer may not know the newest jobs.
+fn broadcast_held_jobs(node: &Node, scheduler: &Scheduler) {
+    if !node.key_value.store_reachable() {
+        return;
+    }
+    let held = HeldJobs { term: scheduler.term, bytes: scheduler.cluster.job_bytes() };
+    node.user_api.record_held_jobs(node.now(), held.bytes);
+    node.broadcast(&Frame::HeldJobs(held));
+}
+
 /// Sends the next batch of machine addresses in name order and starts over after the last one.
 fn broadcast_addresses(node: &Node, scheduler: &Scheduler) {
     let cluster = &scheduler.cluster;
--- a/crates/controller/src/node/event_log.rs
+++ b/crates/controller/src/node/event_log.rs
@@ -3,7 +3,8 @@
 
 use tracing::info;
 use walnutlug_scheduler::event::{
-    Anomaly, Event, FleetCost, HeldShare, JobDone, MachineScaledIn, SupersededStart, WriteCounts,
+    Anomaly, Event, FleetCost, HeldEntries, HeldShare, JobDone, MachineScaledIn, SupersededStart,
+    WriteCounts,
 };
 use walnutlug_scheduler::model::machine::DrainReason;
 
@@ -35,6 +36,7 @@
         }
         Event::FleetCost(cost) => write_cost(cost),
         Event::Writes(written) => write_counts(written),
+        Event::Held(held) => write_held(held),
         Event::Shares { shares } => write_shares(shares),
         Event::OverloadEntered { waiting } => {
             let waiting = format_args!("{waiting:.2}");
@@ -113,6 +115,25 @@
     );
 }
 
+fn write_held(held: &HeldEntries) {
+    info!(
+        jobs = held.jobs,
+        max_job_bytes = held.max_job_bytes,
+        tasks = held.tasks,
+        chunks = held.chunks,
+        machines = held.machines,
+        process_kb = process_kb(),
+        "entries held by the leader"
+    );
+}
+
+/// Returns the anonymous memory of this process in KiB, where the system tells it.
+fn process_kb() -> Option<u64> {
+    let status = std::fs::read_to_string("/proc/self/status").ok()?;
+    let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"))?;
+    line.split_whitespace().next()?.parse().ok()
+}
+
 fn write_shares(shares: &[HeldShare]) {
     let one = |held: &HeldShare| {
         let class = held.class.as_deref().unwrap_or("further classes");
--- a/crates/controller/src/node/peer_messages.rs
+++ b/crates/controller/src/node/peer_messages.rs
@@ -5,7 +5,7 @@
 
 use super::heartbeats::{follower, leader};
 use super::Node;
-use crate::peers::{Cancellations, Frame, NodeStatus};
+use crate::peers::{Cancellations, Frame, HeldJobs, NodeStatus};
 use crate::user_api::TaskCounts;
 
 impl Node {
@@ -34,6 +34,7 @@
             Frame::NewJob { .. } => self.watch_wakeup.notify_one(),
             Frame::LimitsLowered => self.key_value.learn_limits_lowered(),
             Frame::RatesLowered => self.key_value.learn_rates_lowered(),
+            Frame::HeldJobs(held) => self.record_held_jobs(held),
             Frame::Machines(machines) => self.cluster_view.record_addresses(machines),
         }
     }
@@ -54,6 +55,13 @@
         self.cluster_view.record_status(status);
     }
 
+    /// Records what the leader of the newest known term holds.
+    fn record_held_jobs(&self, held: HeldJobs) {
+        if self.other_leader_in_term(held.term).is_some() {
+            self.user_api.record_held_jobs(self.now(), held.bytes);
+        }
+    }
+
     fn handle_ended(&self, job: &str, end: JobEnd) {
         // Sent only after the end is stored, so it is certain. The job's tasks are stopped even
         // while the key-value store rejects this node's requests.
--- a/crates/controller/src/peers.rs
+++ b/crates/controller/src/peers.rs
@@ -23,7 +23,7 @@
     MAX_ENTRIES, MAX_FORWARDED_BYTES,
 };
 pub(crate) use job_frames::{CancellationLogEnd, Cancellations, CancellationsAck};
-pub(crate) use node_frames::{MachineAddress, NodeStatus, MAX_MACHINES};
+pub(crate) use node_frames::{HeldJobs, MachineAddress, NodeStatus, MAX_MACHINES};
 
 #[cfg(test)]
 mod golden_tests;
--- a/crates/controller/src/peers/frame.rs
+++ b/crates/controller/src/peers/frame.rs
@@ -15,7 +15,7 @@
     DelegationGranted, DelegationRequest, ForwardedHeartbeat, ForwardedResponse, RepeatedHeartbeat,
 };
 use super::job_frames::{CancellationLogEnd, Cancellations, CancellationsAck, JobBody};
-use super::node_frames::{decode_machines, encode_machines, MachineAddress, NodeStatus};
+use super::node_frames::{decode_machines, encode_machines, HeldJobs, MachineAddress, NodeStatus};
 
 const MAGIC: u32 = 0x4755_4c57;
 const VERSION: u16 = 2;
@@ -53,6 +53,8 @@
     pub(super) const INVALIDATED: u16 = 16;
     /// Introduced when refusals for the rate no longer lowered the limits for sizes.
     pub(super) const RATES_LOWERED: u16 = 17;
+    /// Introduced when acceptance became bounded by the leader's memory.
+    pub(super) const HELD_JOBS: u16 = 18;
 }
 
 /// Reason why a frame can't be read. The connection is closed then.
@@ -104,6 +106,8 @@
     /// The key-value store enforces its lower, announced rates at the sender, which has had no
     /// refusal for size.
     RatesLowered,
+    /// Memory that the sender's jobs may take; sent by the leader.
+    HeldJobs(HeldJobs),
     /// Addresses of machines that report to the leader.
     Machines(Vec<MachineAddress>),
     /// Consecutive entries of a node's cancellation log.
@@ -151,6 +155,7 @@
             Frame::NewJob { job } => (kind::NEW_JOB, JobBody::new(job).encode()),
             Frame::LimitsLowered => (kind::LIMITS_LOWERED, Vec::new()),
             Frame::RatesLowered => (kind::RATES_LOWERED, Vec::new()),
+            Frame::HeldJobs(held) => (kind::HELD_JOBS, held.encode()),
             Frame::Machines(machines) => (kind::MACHINES, encode_machines(machines)),
             Frame::Cancellations(part) => (kind::CANCELLATIONS, part.encode()),
             Frame::CancellationsAck(ack) => (kind::CANCELLATIONS_ACK, ack.encode()),
@@ -185,6 +190,7 @@
             kind::MACHINES => Frame::Machines(decode_machines(body)?),
             kind::LIMITS_LOWERED => Frame::LimitsLowered,
             kind::RATES_LOWERED => Frame::RatesLowered,
+            kind::HELD_JOBS => Frame::HeldJobs(HeldJobs::decode(body)?),
             kind::CANCELLATIONS => Frame::Cancellations(Cancellations::decode(body)?),
             kind::CANCELLATIONS_ACK => Frame::CancellationsAck(CancellationsAck::decode(body)?),
             kind::CANCELLATION_LOG_END => {
--- a/crates/controller/src/peers/golden_tests.rs
+++ b/crates/controller/src/peers/golden_tests.rs
@@ -14,8 +14,8 @@
 use crate::golden_file::{hexadecimal, Golden};
 
 const GOLDEN_FILE: &str = "src/peers/golden/frames.txt";
-/// Number of frame kinds: 1 to 17 without 5, which no version in use knows.
-const KIND_COUNT: usize = 16;
+/// Number of frame kinds: 1 to 18 without 5, which no version in use knows.
+const KIND_COUNT: usize = 17;
 
 /// Returns the number of the frame's kind on the wire. A new kind has to be added here and to
 /// [`frames`].
@@ -37,6 +37,7 @@
         Frame::DelegationGranted(_) => 15,
         Frame::Invalidated { .. } => 16,
         Frame::RatesLowered => 17,
+        Frame::HeldJobs(_) => 18,
     }
 }
 
@@ -117,6 +118,10 @@
         ("status of a served follower", status(false, true)),
         ("limits fell", Frame::LimitsLowered),
         ("rates fell", Frame::RatesLowered),
+        (
+            "held jobs",
+            Frame::HeldJobs(HeldJobs { term: Term(0x0102_0304_0506_0708), bytes: 70_001 }),
+        ),
         (
             "machines",
             Frame::Machines(vec![
--- a/crates/controller/src/peers/node_frames.rs
+++ b/crates/controller/src/peers/node_frames.rs
@@ -74,6 +74,34 @@
     }
 }
 
+/// Memory that the leader's jobs may take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct HeldJobs {
+    /// Term of the leader.
+    pub(crate) term: Term,
+    /// Most memory that its jobs may take besides their placed tasks, in bytes.
+    pub(crate) bytes: u64,
+}
+
+#[derive(FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned, Clone, Copy)]
+#[repr(C)]
+struct HeldJobsBody {
+    term: U64,
+    bytes: U64,
+}
+
+impl HeldJobs {
+    pub(super) fn encode(&self) -> Vec<u8> {
+        let body = HeldJobsBody { term: self.term.get().into(), bytes: self.bytes.into() };
+        body.as_bytes().to_vec()
+    }
+
+    pub(super) fn decode(body: &[u8]) -> Result<HeldJobs, FrameError> {
+        let (body, _) = layout::split_fixed_part::<HeldJobsBody>(body)?;
+        Ok(HeldJobs { term: Term(body.term.get()), bytes: body.bytes.get() })
+    }
+}
+
 /// Network address of a machine's worker.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct MachineAddress {
--- a/crates/controller/src/settings.rs
+++ b/crates/controller/src/settings.rs
@@ -20,6 +20,12 @@
 pub(crate) use error::{FieldError, SettingsError};
 pub(crate) use sockets::SocketBudget;
 
+/// Bytes in a megabyte of `mem_mb`.
+const BYTES_PER_MB: f64 = 1.0e6;
+/// Fraction of the memory for accepted jobs. Placed tasks, machines, buffers and the code need the
+/// rest.
+const JOB_MEMORY_FRACTION: f64 = 0.5;
+
 /// Another controller node of the same cluster.
 #[derive(Debug, Clone)]
 pub(crate) struct Peer {
@@ -56,6 +62,8 @@
     pub(crate) cloud_rps: f64,
     /// Limit on the file descriptors, sockets included, that this process may have open.
     pub(crate) fd_limit: u32,
+    /// Memory that accepted jobs may take on each node, in bytes; `None` if it is not limited.
+    pub(crate) job_memory_bytes: Option<u64>,
     /// Fraction of a CPU core that the node may use, above 0 and at most 1.
     pub(crate) cpu_share: f64,
 }
@@ -110,6 +118,7 @@
     let list_lag = reader.seconds("facts.cloud.list_lag_s", 0.0..=3_600.0);
     let fd_limit = reader.number("facts.resources.fd_limit", 1.0..=1.0e7);
     let cpu_share = read_cpu_share(reader);
+    let job_memory_bytes = read_job_memory(reader);
     let fd_limit = check_fd_limit(reader, fd_limit, peers.len());
     let site = Site {
         teams,
@@ -136,6 +145,7 @@
         state_next,
         cloud_rps,
         fd_limit,
+        job_memory_bytes,
         cpu_share,
     }
 }
@@ -181,6 +191,19 @@
     }
 }
 
+/// Reads the part of the node's memory that accepted jobs may take. Without a limit on the memory
+/// there is none on the jobs.
+fn read_job_memory(reader: &mut Reader<'_>) -> Option<u64> {
+    const PATH: &str = "facts.resources.mem_mb";
+    match reader.value_at(PATH) {
+        Value::Null => None,
+        _ => {
+            let bytes = reader.number(PATH, 1.0..=1.0e9) * BYTES_PER_MB;
+            Some((bytes * JOB_MEMORY_FRACTION) as u64)
+        }
+    }
+}
+
 /// Reports a limit on file descriptors that is too low for the number of peers.
 fn check_fd_limit(reader: &mut Reader<'_>, limit: f64, peers: usize) -> u32 {
     let minimum = SocketBudget::minimum(peers);
--- a/crates/controller/src/user_api/submission.rs
+++ b/crates/controller/src/user_api/submission.rs
@@ -5,7 +5,9 @@
 use tokio::sync::oneshot;
 use tokio::time::{timeout, Duration, Instant};
 use tracing::{debug, info};
-use walnutlug_scheduler::model::job_spec::JobSpec;
+use walnutlug_admission::job_memory::{NoMemory, Reservation, Urgency};
+use walnutlug_scheduler::model::footprint::max_bytes;
+use walnutlug_scheduler::model::job_spec::{JobSpec, Priority};
 use walnutlug_scheduler::protocol::users::{
     job_response, parse_submission, InvalidField, JobStage,
 };
@@ -24,6 +26,9 @@
 /// Latency above which a submission is logged at debug level.
 const SLOW_SUBMISSION: Duration = Duration::from_millis(150);
 
+/// When a user should repeat a submission that there was no memory for, in seconds.
+const NO_MEMORY_RETRY_S: u32 = 5;
+
 /// Successful result of a submission.
 struct Accepted {
     name: String,
@@ -70,6 +75,8 @@
     Store(#[from] KeyValueError),
     #[error("could not read the state of the jobs in waits; try again")]
     DependenciesUnknown,
+    #[error("the jobs that are accepted already leave no memory for this one; try again later")]
+    NoMemory(#[from] NoMemory),
     #[error("too many submissions at once")]
     TooMany { delay: Duration },
     /// The write may have taken effect; the user finds out by repeating the submission.
@@ -88,6 +95,7 @@
                 Answer::error(400, text)
             }
             SubmissionError::Unrunnable(_) => Answer::error(422, text),
+            SubmissionError::NoMemory(_) => Answer::retry_in(NO_MEMORY_RETRY_S, &text),
             SubmissionError::TooMany { delay } => Answer::retry_in(delay.as_secs() as u32, &text),
             SubmissionError::MachineTypesUnknown
             | SubmissionError::StoreUnreachable
@@ -145,8 +153,15 @@
         Ok(description) => description,
         Err(reason) => return refuse_unless_accepted(node, name, reason).await,
     };
-    let outcome = write_and_wait(node, &name, spec, description, is_cancelled, started).await?;
-    match outcome {
+    let reservation = match reserve_memory(node, &name, &spec) {
+        Ok(reservation) => reservation,
+        Err(reason) => return refuse_unless_accepted(node, name, reason.into()).await,
+    };
+    let outcome = write_and_wait(node, &name, spec, description, is_cancelled, started).await;
+    if is_cancelled || matches!(outcome, Err(_) | Ok(WriteOutcome::AlreadyAccepted)) {
+        node.user_api.job_memory.borrow_mut().release(reservation);
+    }
+    match outcome? {
         WriteOutcome::Written => {
             let stage = node.user_api.known_jobs.end(&name).map_or(JobStage::Queued, stage_of_end);
             Ok(Accepted { name, stage, is_new: true })
@@ -195,6 +210,23 @@
     Ok(outcome.unwrap_or(WriteOutcome::Indeterminate))
 }
 
+/// Reserves the memory that the job will take on the leader.
+///
+/// # Errors
+///
+/// If this node's part of the memory for jobs is used up.
+fn reserve_memory(node: &Node, name: &str, spec: &JobSpec) -> Result<Reservation, NoMemory> {
+    let urgency = match spec.priority {
+        Priority::High | Priority::Prod => Urgency::Urgent,
+        Priority::Low | Priority::Normal => Urgency::Ordinary,
+    };
+    let bytes = max_bytes(spec, chunk_size(node.settings.site.value_bytes));
+    let mut memory = node.user_api.job_memory.borrow_mut();
+    memory.reserve(node.now(), bytes, urgency).inspect_err(|reason| {
+        info!(job = %name, %reason, "accepted jobs leave no memory for the job");
+    })
+}
+
 /// Encodes the job description for storage.
 ///
 /// # Errors
@@ -232,8 +264,9 @@
         .or_else(|| depends_on_itself.then(|| Unrunnable::DependsOnItself(name.to_owned()))))
 }
 
-/// Refuses a job that can never run or be stored, unless it was accepted earlier: an accepted job is
-/// never refused, even if teams, machine types or the store's limits have changed since.
+/// Refuses a job that can never run or be stored, or that there is no memory for, unless it was
+/// accepted earlier: an accepted job is never refused, even if teams, machine types or the store's
+/// limits have changed since.
 async fn refuse_unless_accepted(
     node: &Rc<Node>,
     name: String,
@@ -244,7 +277,7 @@
     }
     let accepted = node.key_value.get(RequestClass::Submission, &keys::job(&name)).await?;
     if accepted.is_none() {
-        info!(job = %name, %reason, "submission refused: the job can never run");
+        info!(job = %name, %reason, "submission refused");
         return Err(reason);
     }
     node.user_api.known_jobs.record_accepted(&name);
--- a/crates/scheduler/src/autoscaling.rs
+++ b/crates/scheduler/src/autoscaling.rs
@@ -168,6 +168,7 @@
             };
             let write_counts = self.transactions.take_counts();
             self.log(Event::Writes(write_counts));
+            self.log(Event::Held(self.cluster.held_entries()));
             self.log_shares();
         }
         self.autoscaler.costs = costs;
--- a/crates/scheduler/src/event.rs
+++ b/crates/scheduler/src/event.rs
@@ -82,6 +82,8 @@
     FleetCost(FleetCost),
     /// Number of operations written over the last minute.
     Writes(WriteCounts),
+    /// What the leader holds in memory.
+    Held(HeldEntries),
     /// Shares of the fleet that classes hold while it is overloaded, largest first.
     Shares {
         /// The classes that hold the largest shares.
@@ -198,6 +200,21 @@
     pub image_cached: usize,
 }
 
+/// Numbers of entries in the leader's tables.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct HeldEntries {
+    /// Jobs whose records are not deleted yet.
+    pub jobs: usize,
+    /// Most memory that these jobs may take besides their placed tasks, in bytes.
+    pub max_job_bytes: u64,
+    /// Tasks with an entry of their own: placed, or completed without the completion being stored.
+    pub tasks: usize,
+    /// Chunks of tasks that are stored.
+    pub chunks: usize,
+    /// Machines, including terminated ones whose entry is not reused yet.
+    pub machines: usize,
+}
+
 /// The share of the fleet that one class of a team holds.
 #[derive(Debug, Clone, PartialEq)]
 pub struct HeldShare {
--- a/crates/scheduler/src/model.rs
+++ b/crates/scheduler/src/model.rs
@@ -3,6 +3,7 @@
 pub mod chunk_table;
 pub mod cluster;
 pub(crate) mod conflicting_replicas;
+pub mod footprint;
 pub mod ids;
 pub mod job;
 pub mod job_spec;
--- a/crates/scheduler/src/model/cluster.rs
+++ b/crates/scheduler/src/model/cluster.rs
@@ -10,6 +10,7 @@
 
 use walnutlug_admission::shares::Shares;
 
+use crate::event::HeldEntries;
 use crate::leadership::fencing_token::{FencingToken, Term};
 use crate::model::chunk_table::ChunkWrites;
 use crate::model::conflicting_replicas::ConflictingReplicas;
@@ -55,6 +56,8 @@
     /// Jobs by index. An index is never reused, so a late response cannot refer to a different job.
     pub jobs: BTreeMap<JobIndex, Job>,
     next_job: JobIndex,
+    /// Most memory that the jobs may take besides their placed tasks, in bytes.
+    job_bytes: u64,
     /// Maps a job's name to its index in `jobs`.
     pub jobs_by_name: HashMap<String, JobIndex>,
     /// All machines, including terminated ones until their entry is reused.
@@ -91,6 +94,7 @@
             loaded_token,
             jobs: BTreeMap::new(),
             next_job: JobIndex(0),
+            job_bytes: 0,
             jobs_by_name: HashMap::new(),
             machines: Vec::new(),
             machines_by_name: HashMap::new(),
@@ -124,6 +128,7 @@
         let index = self.next_job;
         self.next_job = index.next();
         self.jobs_by_name.insert(job.name.clone(), index);
+        self.job_bytes += job.max_bytes();
         self.jobs.insert(index, job);
         self.placement_needed = true;
         index
@@ -133,10 +138,28 @@
     pub(crate) fn remove_job(&mut self, index: JobIndex) {
         if let Some(job) = self.jobs.remove(&index) {
             self.jobs_by_name.remove(&job.name);
+            self.job_bytes -= job.max_bytes();
             self.shares.remove_job(job.share_class);
         }
     }
 
+    /// Returns the most memory that the jobs may take besides their placed tasks, in bytes. A job
+    /// counts from its acceptance until its last record is deleted.
+    pub fn job_bytes(&self) -> u64 {
+        self.job_bytes
+    }
+
+    /// Returns the numbers of entries in the tables.
+    pub(crate) fn held_entries(&self) -> HeldEntries {
+        HeldEntries {
+            jobs: self.jobs.len(),
+            max_job_bytes: self.job_bytes,
+            tasks: self.jobs.values().map(|job| job.tasks.entry_count()).sum(),
+            chunks: self.jobs.values().map(|job| job.chunks.recorded_count()).sum(),
+            machines: self.machines.len(),
+        }
+    }
+
     /// Marks the job as ended, whether it completed or was cancelled. Returns its index, or `None`
     /// if it is unknown or was already marked.
     pub(crate) fn end_job(&mut self, name: &str) -> Option<JobIndex> {
--- a/crates/scheduler/src/model/job.rs
+++ b/crates/scheduler/src/model/job.rs
@@ -8,6 +8,7 @@
 use walnutlug_admission::shares::ClassId;
 
 use crate::model::chunk_table::ChunkTable;
+use crate::model::footprint;
 use crate::model::ids::MachineIndex;
 use crate::model::job_spec::{JobSpec, Priority};
 use crate::model::job_state::{JobEvent, JobState};
@@ -114,6 +115,11 @@
         format!("{}/{index}", self.name)
     }
 
+    /// Returns the most memory that the job may take besides its placed tasks, in bytes.
+    pub(crate) fn max_bytes(&self) -> u64 {
+        footprint::max_bytes(&self.spec, self.chunk_size)
+    }
+
     /// Returns the class under which the job's share of the fleet is accounted.
     pub fn share_class(&self) -> ClassId {
         self.share_class
--- a/crates/scheduler/tests/large_arrays.rs
+++ b/crates/scheduler/tests/large_arrays.rs
@@ -26,6 +26,8 @@
 const TASKS: u32 = 100_000;
 /// A quarter of the memory of the smallest controllers.
 const MAX_HELD_BYTES: usize = 46 * 1024 * 1024 / 4;
+/// Jobs of three tasks, most of which depend on twenty others.
+const SMALL_JOBS: usize = 150;
 /// Records in one page of a read of the store, whose pages hold 512 KiB.
 const PAGE_RECORDS: usize = 128;
 
@@ -103,7 +105,23 @@
     }
     world.leader.chunks_loaded(loader);
     assert!(world.leader.cluster.jobs.values().all(|job| job.done == TASKS));
+    let bound = world.leader.cluster.job_bytes() as usize;
     let next = empty_scheduler(&world, world.leader.term);
     let held = drop_counted(std::mem::replace(&mut world.leader, next));
     assert!(held < MAX_HELD_BYTES, "{held} bytes for {ARRAYS} completed arrays");
+    assert!(held <= bound, "{held} bytes, more than the {bound} that acceptance counts with");
+}
+
+#[test]
+fn small_jobs_with_dependencies_take_no_more_memory_than_acceptance_counts_with() {
+    let _alone = run_alone();
+    let mut world = World::new(&[]);
+    for index in 0..SMALL_JOBS {
+        let dependencies = (index.saturating_sub(20)..index).map(array_name).collect();
+        world.submit(&array_name(index), &JobSpec { dependencies, ..spec(3) });
+    }
+    let bound = world.leader.cluster.job_bytes() as usize;
+    let next = empty_scheduler(&world, world.leader.term);
+    let held = drop_counted(std::mem::replace(&mut world.leader, next));
+    assert!(held <= bound, "{held} bytes, more than the {bound} that acceptance counts with");
 }
