--- a/crates/scheduler/src/autoscaling.rs
+++ b/crates/scheduler/src/autoscaling.rs
@@ -114,7 +114,12 @@
         self.log_shares();
     }
 
-    /// Handles the answer to [`Command::ScaleOut`]: the names of the machines, none if there was no
+    /// Sends no requests for `CLOUD_PAUSE`, since the cloud gives no usable answers.
+    pub fn pause_cloud(&mut self, now: Timestamp) {
+        self.autoscaler.requests_paused_until = now + CLOUD_PAUSE;
+    }
+
+    /// Handles the answer to [`Command::ScaleOut`](crate::command::Command::ScaleOut): the names of the machines, none if there was no
     /// capacity, or `Err` if the cloud gave no usable answer.
     pub fn scale_out_answered(
         &mut self,
--- a/crates/scheduler/src/autoscaling/scale_in.rs
+++ b/crates/scheduler/src/autoscaling/scale_in.rs
@@ -11,7 +11,7 @@
 impl Scheduler {
     /// Marks machines for return that were idle for too long, ordinary ones first, and keeps the
     /// headroom.
-    fn drain_idle(&mut self, now: Timestamp) {
+    pub(super) fn drain_idle(&mut self, now: Timestamp) {
         let mut free_cpus: f64 = self
             .cluster
             .machines
@@ -47,7 +47,7 @@
 
     /// Returns machines that are marked and either empty or beyond recovery, and repeats requests
     /// that weren't answered.
-    fn scale_in(&mut self, now: Timestamp) {
+    pub(super) fn scale_in(&mut self, now: Timestamp) {
         if now < self.autoscaler.requests_paused_until || self.autoscaler.pending_scale_ins > 1 {
             return;
         }
--- a/crates/scheduler/src/autoscaling/scale_out.rs
+++ b/crates/scheduler/src/autoscaling/scale_out.rs
@@ -20,7 +20,7 @@
 
 impl Scheduler {
     /// Requests machines for tasks that fit on no machine, and for the headroom.
-    fn scale_out(&mut self, now: Timestamp, queue: Vec<(QueueKey, JobIndex)>) {
+    pub(super) fn scale_out(&mut self, now: Timestamp, queue: Vec<(QueueKey, JobIndex)>) {
         if now < self.autoscaler.requests_paused_until || self.cluster.machine_types.is_empty() {
             return;
         }
