A reason not to request a machine counts usable capacity only, and ends

Cause: the reasons counted capacity of the whole fleet, also what the job may not use, avoids or gets only after others; and each assessment asked anew, so under steady work a reason never ended.

Change: capacity counts by offer and for the job (`autoscaling::demand`), and what a waiting job takes is gone for those behind it. Each reason has a time (`autoscaling::capacity_wait`): if none of the job's tasks was placed until then, one machine is requested for it, one at a time. The log tells why a job waits.

--- a/crates/controller/src/node/event_log.rs
+++ b/crates/controller/src/node/event_log.rs
@@ -20,6 +20,10 @@
             let waited_s = format_args!("{:.1}", waited.as_secs_f64());
             info!(%job, %waited_s, ?priority, %dependencies, "job ready: all dependencies are done");
         }
+        Event::JobWaits { job, reason, waiting } => {
+            let waiting_s = format_args!("{:.0}", waiting.as_secs_f64());
+            info!(%job, %reason, %waiting_s, "job waits for capacity");
+        }
         Event::TaskPreempted { task } => info!(%task, "task preempted"),
         Event::TaskFailed { task, machine } => info!(%task, %machine, "task failed"),
         Event::StartUnconfirmed { task } => {
--- a/crates/scheduler/src/autoscaling.rs
+++ b/crates/scheduler/src/autoscaling.rs
@@ -1,7 +1,9 @@
 //! Autoscaling: requesting machines from the cloud, returning them, and accounting for the cost of
 //! the fleet.
 
+pub(crate) mod capacity_wait;
 mod costs;
+mod demand;
 pub mod offers;
 mod scale_in;
 mod scale_out;
--- a/crates/scheduler/src/autoscaling/offers.rs
+++ b/crates/scheduler/src/autoscaling/offers.rs
@@ -1,6 +1,7 @@
 //! Offers of the cloud, and simulated placement on machines that exist, are booting or are to be
 //! requested.
 
+use crate::model::ids::MachineIndex;
 use crate::model::job_spec::JobSpec;
 use crate::model::EPSILON;
 
@@ -11,15 +12,30 @@
 /// Most machines in one request; a limit of the cloud's API.
 pub(crate) const MAX_MACHINES_PER_REQUEST: u32 = 50;
 
-/// Free resources of a machine that is up, booting or to be requested, for simulated placement.
+/// Free resources of a machine that is up, booting or to be requested, or of several machines of one
+/// offer, for simulated placement.
 pub(crate) struct SimulatedMachine {
     pub offer: usize,
+    /// The machine, if it is known by name.
+    pub machine: Option<MachineIndex>,
     pub cpus: f64,
     pub gpus: f64,
     pub memory: f64,
 }
 
 impl SimulatedMachine {
+    /// Adds the machine's resources to those of its offer.
+    pub fn add_to(&self, by_offer: &mut Vec<SimulatedMachine>) {
+        match by_offer.iter_mut().find(|sum| sum.offer == self.offer) {
+            Some(sum) => {
+                sum.cpus += self.cpus.max(0.0);
+                sum.gpus += self.gpus.max(0.0);
+                sum.memory += self.memory.max(0.0);
+            }
+            None => by_offer.push(SimulatedMachine { machine: None, ..*self }),
+        }
+    }
+
     /// Places as many of `unplaced` tasks as fit, and returns their number.
     pub fn place_tasks(&mut self, spec: &JobSpec, unplaced: u32) -> u32 {
         let fitting =
--- a/crates/scheduler/src/event.rs
+++ b/crates/scheduler/src/event.rs
@@ -1,6 +1,7 @@
 //! Typed log events of the scheduler. The program writes each as a constant message with structured
 //! fields.
 
+pub use crate::autoscaling::capacity_wait::WaitReason;
 use crate::model::ids::Attempt;
 use crate::model::job_spec::Priority;
 use crate::model::machine::DrainReason;
@@ -28,6 +29,15 @@
         /// Names of the jobs that it depended on.
         dependencies: Vec<String>,
     },
+    /// Tasks of the job have been waiting for a machine, and none was requested for them.
+    JobWaits {
+        /// Name of the waiting job.
+        job: String,
+        /// What it waits for.
+        reason: WaitReason,
+        /// Time since a task of the job was placed, or since its tasks began to wait.
+        waiting: TimeDelta,
+    },
     /// A running task is stopped in favour of a job with higher priority or of a team below its
     /// guaranteed share.
     TaskPreempted {
--- a/crates/scheduler/src/model/cluster.rs
+++ b/crates/scheduler/src/model/cluster.rs
@@ -190,6 +190,10 @@
             return None;
         }
         let job = self.jobs.get_mut(&id.job)?;
+        job.capacity_wait.task_placed(now);
+        if job.pending() == 0 {
+            job.capacity_wait.demand_met();
+        }
         let image = job.spec.image.clone();
         let chunk = job.chunk_of(id.index);
         let first_of_chunk = job.chunks.update_writes(chunk, |writes| {
--- a/crates/scheduler/src/model/job.rs
+++ b/crates/scheduler/src/model/job.rs
@@ -7,6 +7,7 @@
 use roaring::RoaringBitmap;
 use walnutlug_admission::shares::ClassId;
 
+use crate::autoscaling::capacity_wait::CapacityWait;
 use crate::model::chunk_table::ChunkTable;
 use crate::model::footprint;
 use crate::model::ids::MachineIndex;
@@ -66,6 +67,8 @@
     pub not_before: Timestamp,
     /// When each running task was first observed running, by task index.
     pub started: HashMap<u32, Timestamp>,
+    /// How long the job has been waiting for machines.
+    pub(crate) capacity_wait: CapacityWait,
     /// Whether any task of the job completed, or ran long enough to count as started.
     pub has_started: bool,
     /// Run times of completed tasks: their sum in seconds, and their count.
@@ -104,6 +107,7 @@
             error_machines: BTreeMap::new(),
             not_before: Timestamp(0),
             started: HashMap::new(),
+            capacity_wait: CapacityWait::default(),
             has_started: false,
             run_times: (0.0, 0),
             spec,
