A job takes only the ending work that it waits for from the jobs behind it

Jobs that wait for spot machines hold back their tasks for long, and ordinary machines were requested behind them.

--- a/crates/scheduler/src/autoscaling/scale_out.rs
+++ b/crates/scheduler/src/autoscaling/scale_out.rs
@@ -401,15 +401,10 @@
             && scheduler.usable_machines_have_tasks(self.now, ix)
         {
             // Running tasks can free capacity in time.
-            demand.place_on_all(&self.offers, &mut self.soon_free);
             return WaitReason::TimeToSpare;
         }
         let reason_against_ordinary = self.reason_against_ordinary(demand, waiting, ix);
-        let reason = self.request(demand, reason_against_ordinary);
-        // What becomes free goes to the jobs in the order of the queue, so a job that waits for
-        // other reasons takes it from the jobs behind it.
-        demand.place_on_all(&self.offers, &mut self.soon_free);
-        reason
+        self.request(demand, reason_against_ordinary)
     }
 
     /// Returns why a job that may use spot machines gets no ordinary one, while those cost several
