A deletion without effect restores only the records that it named

Cause: after a deletion that was not executed, every chunk of the job got an entry under a placeholder revision, stored or not, and all of them were deleted again. For an array of 100,000 tasks those are hundreds of entries and of changes in the store, though one chunk may have been written.

Change: the deletion keeps the keys of the records that it names, and exactly those are restored.

Test: `deletion_without_effect_restores_only_what_it_deleted` (before: an entry for every chunk of the array).

--- a/crates/scheduler/src/storage/deletion.rs
+++ b/crates/scheduler/src/storage/deletion.rs
@@ -12,8 +12,8 @@
 use crate::storage::keys;
 use crate::storage::revision::Revision;
 
-/// Identifies a part of a chunk by the chunk's number and the part's first task.
-type PartId = (usize, PartKey);
+/// Identifies a record by the number of its chunk and its key there.
+type RecordKey = (usize, PartKey);
 
 /// The records of a job that one transaction deletes.
 #[derive(Debug)]
@@ -21,7 +21,8 @@
     job: JobIndex,
     /// Whether the job has no records left after this transaction.
     is_complete: bool,
-    parts: Vec<PartId>,
+    /// Records that it deletes.
+    records: Vec<RecordKey>,
 }
 
 /// Adds as many deletions of an ended job's records as fit into the batch, provided that no task of
@@ -37,14 +38,14 @@
         return false;
     };
     job.apply(JobEvent::DeletionStarted);
-    delete_chunks(batch, job, max_operations);
-    let parts = delete_parts(batch, job, max_operations);
+    let mut records = delete_chunks(batch, job, max_operations);
+    records.extend(delete_parts(batch, job, max_operations));
     let records_remain = job.chunks.has_records();
     let is_complete = !records_remain && !batch.is_full(max_operations);
     if is_complete {
         batch.delete(keys::description(&job.name, !job.spec.dependencies.is_empty()));
     }
-    batch.note_deletion(RecordDeletion { job: job_index, is_complete, parts });
+    batch.note_deletion(RecordDeletion { job: job_index, is_complete, records });
     is_complete
 }
 
@@ -52,16 +53,19 @@
     job.may_delete_records() && job.placed == 0 && !job.chunks.any_in_flight()
 }
 
-fn delete_chunks(batch: &mut Batch, job: &mut Job, max_operations: usize) {
+fn delete_chunks(batch: &mut Batch, job: &mut Job, max_operations: usize) -> Vec<RecordKey> {
+    let mut deleted = Vec::new();
     let name = &job.name;
     job.chunks.update_records(|number, records| {
         if !batch.is_full(max_operations) && records.remove_whole() {
             batch.delete(keys::run(name, number));
+            deleted.push((number, None));
         }
     });
+    deleted
 }
 
-fn delete_parts(batch: &mut Batch, job: &mut Job, max_operations: usize) -> Vec<PartId> {
+fn delete_parts(batch: &mut Batch, job: &mut Job, max_operations: usize) -> Vec<RecordKey> {
     let mut deleted = Vec::new();
     let name = &job.name;
     job.chunks.update_records(|number, records| {
@@ -89,10 +93,8 @@
     pub(crate) fn not_executed(self, cluster: &mut Cluster) {
         let Some(job) = cluster.jobs.get_mut(&self.job) else { return };
         job.apply(JobEvent::DeletionIncomplete);
-        // It is unknown which chunks still exist; deleting a missing key has no effect.
-        let chunks = (0..job.chunk_count()).map(|chunk| (chunk, None));
-        let deleted = self.parts.into_iter().chain(chunks);
-        for (chunk, part) in deleted.collect::<Vec<PartId>>() {
+        // It is unknown which of them still exist; deleting a missing key has no effect.
+        for (chunk, part) in self.records {
             let tasks = job.chunk_tasks(chunk);
             let records = job.chunks.records_mut(chunk);
             if records.revision(part) == Revision::NONE {
--- a/crates/scheduler/tests/large_arrays.rs
+++ b/crates/scheduler/tests/large_arrays.rs
@@ -7,9 +7,10 @@
 
 use serde_json::{json, Value};
 use stats_alloc::{Region, StatsAlloc, INSTRUMENTED_SYSTEM};
+use walnutlug_scheduler::command::{Command, TransactionOutcome};
 use walnutlug_scheduler::leadership::fencing_token::Term;
 use walnutlug_scheduler::model::job_spec::{JobSpec, Priority};
-use walnutlug_scheduler::protocol::key_value::KeyValue;
+use walnutlug_scheduler::protocol::key_value::{KeyValue, Operation};
 use walnutlug_scheduler::scheduler::Scheduler;
 use walnutlug_scheduler::storage::keys;
 use walnutlug_scheduler::storage::loader::ChunkLoader;
@@ -78,6 +79,49 @@
     }
 }
 
+/// Ticks until the leader sends a transaction that deletes records, and rejects it.
+fn reject_deletion(world: &mut World) {
+    for _ in 0..200 {
+        world.wait(100);
+        world.send_all_heartbeats();
+        world.tick();
+        let is_deletion = |operation: &Operation| matches!(operation, Operation::Delete { .. });
+        for command in std::mem::take(&mut world.commands) {
+            match command {
+                Command::Commit { id, transaction }
+                    if transaction.operations.iter().any(is_deletion) =>
+                {
+                    let rejected = TransactionOutcome::Rejected;
+                    return world.leader.transaction_answered(world.now, id, rejected);
+                }
+                other => world.commands.push(other),
+            }
+        }
+        world.execute_commands();
+    }
+    panic!("no deletion was sent");
+}
+
+/// Guards against an entry for each chunk of an array, stored or not, after a deletion that was not
+/// executed.
+#[test]
+fn deletion_without_effect_restores_only_what_it_deleted() {
+    let _alone = run_alone();
+    let mut world = World::new(&[("n-1", "a")]);
+    world.submit(&array_name(0), &array());
+    world.settle();
+    world.cancel_job(&array_name(0));
+    reject_deletion(&mut world);
+    let chunks: Vec<usize> =
+        world.leader.cluster.jobs.values().map(|job| job.chunks.recorded_count()).collect();
+    assert_eq!(chunks, [1], "one chunk had been written");
+    for _ in 0..10 {
+        world.wait(1_000);
+        world.settle();
+    }
+    assert!(world.leader.cluster.jobs.is_empty() && world.store.key_values(keys::RUN).is_empty());
+}
+
 /// Returns the record of a chunk whose tasks are all done.
 fn completed_chunk(array: usize, chunk: usize, tasks: u32) -> KeyValue {
     let value = json!({"t": vec![json!([5, 1]); tasks as usize], "w": "1-1"});
