--- a/crates/admission/src/job_memory.rs
+++ b/crates/admission/src/job_memory.rs
@@ -14,7 +14,7 @@
 /// Largest job that may use the reserved part, in bytes.
 pub const MAX_URGENT_BYTES: u64 = 16 * 1024;
 /// Fraction of the limit that may be used before any leader has told what it holds.
-const UNTOLD_FRACTION: f64 = 0.125;
+const UNTOLD_FRACTION: f64 = 0.5;
 /// Time after which the leader holds an accepted job: its watch returns within a second, and it
 /// reads all descriptions again every 20 s.
 const HELD_AFTER: TimeDelta = TimeDelta::from_secs(30);
--- a/crates/scheduler/src/autoscaling/capacity_wait.rs
+++ b/crates/scheduler/src/autoscaling/capacity_wait.rs
@@ -18,6 +18,8 @@
 /// Fraction of a boot that has to be left until the job must start for an ordinary machine to still
 /// help it.
 const MIN_BOOT_FRACTION: f64 = 0.5;
+/// Time for which a job waits before the reason is logged.
+const LOGGED_AFTER: TimeDelta = TimeDelta::from_secs(10);
 
 /// Why no machine is requested for a job's waiting tasks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -153,8 +155,5 @@
     }
 }
 
-/// Time for which a job waits before the reason is logged.
-const LOGGED_AFTER: TimeDelta = TimeDelta::from_secs(10);
-
 #[cfg(test)]
 mod tests;
--- a/crates/scheduler/src/autoscaling/scale_out.rs
+++ b/crates/scheduler/src/autoscaling/scale_out.rs
@@ -142,9 +142,8 @@
         }
     }
 
-    /// How long a placed task has run, in seconds, if it was seen running. Right after a failover no
-    /// task has been seen running yet. (While these tasks counted as freeing nothing, a new leader
-    /// requested three hundred expensive machines.)
+    /// How long a placed task has run, in seconds, if it was seen running or was placed before the
+    /// failover, after which no task has been seen running yet.
     fn ran_s(&self, now: Timestamp, job: &Job, index: u32, task: &Task) -> Option<f64> {
         let since = match job.started.get(&index) {
             Some(&since) => since,
@@ -447,8 +446,7 @@
             }
             // What is incoming was requested before. The simulation gives a booting machine to the
             // first job in the queue, which may be one that no expensive machine is requested for;
-            // each assessment then requested machines for the other jobs again: 230 within three
-            // seconds for one job's 76 tasks.
+            // machines must not be requested for the other jobs again at each assessment.
             if is_expensive && demand.place_on_all(offers, &mut self.incoming_ordinary) > 0 {
                 continue;
             }
