Work that ends on machines not heard yet after a failover counts as capacity again

Cause: with capacity counted by offer, only tasks on machines that are schedulable now were expected to free any. After a failover of all controllers a new leader has heard no machine, so nothing counted and expensive ordinary machines were requested. Counted are now all machines but those that are drained, interrupted or returned.

--- a/crates/controller/src/node/broadcast.rs
+++ b/crates/controller/src/node/broadcast.rs
@@ -18,6 +18,9 @@
 
 /// Number of broadcasts after which the redirect count is reset.
 const BROADCASTS_PER_REDIRECT_COUNT: u32 = 6;
+/// Number of broadcasts after which the leader tells again what its jobs may take. Nodes count what
+/// they accept meanwhile.
+const BROADCASTS_PER_HELD_JOBS: u64 = 5;
 /// Number of broadcasts, at most a second apart, in which every machine's address is sent once.
 /// Each sends at least one full frame, so a cycle stays well within the time for which an address
 /// is valid, whatever the size of the fleet.
@@ -104,10 +107,12 @@
     }
 }
 
-/// Tells the peers how much memory the jobs may take, and records it for this node. A leader that
-/// the store doesn't answer may not know the newest jobs.
+/// Tells the peers from time to time how much memory the jobs may take, and records it for this node.
+/// A leader that the store doesn't answer may not know the newest jobs.
 fn broadcast_held_jobs(node: &Node, scheduler: &Scheduler) {
-    if !node.key_value.store_reachable() {
+    let sent = node.broadcasts.statuses_sent.get();
+    let is_due = sent.is_multiple_of(BROADCASTS_PER_HELD_JOBS);
+    if !node.key_value.store_reachable() || !is_due {
         return;
     }
     let held = HeldJobs { term: scheduler.term, bytes: scheduler.cluster.job_bytes() };
--- a/crates/scheduler/src/autoscaling/demand.rs
+++ b/crates/scheduler/src/autoscaling/demand.rs
@@ -43,8 +43,10 @@
         simulated: &mut SimulatedMachine,
     ) -> u32 {
         let offer = simulated.offer;
-        let is_avoided = simulated.machine.is_some_and(|m| self.job.avoids(self.now, m));
-        if self.unplaced == 0 || is_avoided || !self.may_use(offers, offer) {
+        if self.unplaced == 0 || !self.may_use(offers, offer) {
+            return 0;
+        }
+        if simulated.machine.is_some_and(|m| self.job.avoids(self.now, m)) {
             return 0;
         }
         let zone = &offers.offers[offer].1;
--- a/crates/scheduler/src/autoscaling/scale_out.rs
+++ b/crates/scheduler/src/autoscaling/scale_out.rs
@@ -274,12 +274,16 @@
         plan
     }
 
-    /// Adds the machines that are up or booting. Returns the offers of those that are up.
+    /// Adds the machines that are up or booting. Returns the offers of those that new tasks may be
+    /// placed on, now or once they are heard again.
     fn add_machines(&mut self, smallest: &SmallestTask) -> Vec<Option<usize>> {
         let cluster = &self.scheduler.cluster;
         let mut offer_of_machine = vec![None; cluster.machines.len()];
         for (index, m) in cluster.machines.iter().enumerate() {
             let Some(kind) = m.kind else { continue };
+            if is_kept(m) {
+                offer_of_machine[index] = Some(self.offers.index(kind, &m.zone, m.spot));
+            }
             let is_incoming = is_incoming(self.now, m);
             if !is_incoming && !self.scheduler.is_schedulable(self.now, m) {
                 continue;
@@ -298,7 +302,6 @@
                 self.add_incoming(simulated);
                 continue;
             }
-            offer_of_machine[index] = Some(simulated.offer);
             if smallest.may_fit(&simulated) {
                 self.machines.push(simulated);
             }
@@ -496,6 +499,13 @@
     }
 }
 
+/// Returns whether the machine will take new tasks when it has room. After a failover that holds for
+/// machines that this leader has not heard yet.
+fn is_kept(machine: &Machine) -> bool {
+    let is_returned = matches!(machine.state, MachineState::Terminating | MachineState::Terminated);
+    !is_returned && machine.drain_reason.is_none() && machine.interruption_at.is_none()
+}
+
 /// Returns whether the machine is booting and can be counted on. One that the cloud reports as
 /// running and that sends no heartbeat is most likely gone.
 fn is_incoming(now: Timestamp, machine: &Machine) -> bool {
