Scenarios with real controllers choose ports that the system gives to nobody by itself

Its log: "cannot start the controller node: Address already in use (os error 98)".

Cause: the ports were chosen by binding port 0 and let go again before the controllers bound them. They lay in the range from which the system serves every connection, and the cases beside opened many.

Change: ports from 20,000 to 31,999, below that range, beginning at a place that differs by process. No check of the scenario changed.

--- a/crates/fault-injection/src/controllers.rs
+++ b/crates/fault-injection/src/controllers.rs
@@ -29,13 +29,22 @@
     peer_addresses: Vec<String>,
 }
 
+/// Ports below those that Linux assigns by itself, which begin at 32,768.
+const PORTS: std::ops::Range<u16> = 20_000..32_000;
+
 impl ControllerAddresses {
-    /// Chooses loopback ports that are free at the moment. They are not reserved: another process
-    /// can take one before the controller binds it.
+    /// Chooses loopback ports that are free at the moment. They are not reserved until a controller
+    /// binds them, so they lie outside the range that the system gives to connections and to
+    /// listeners without a port of their own.
     pub fn allocate() -> ControllerAddresses {
-        let bind =
-            |_| std::net::TcpListener::bind("127.0.0.1:0").expect("failed to bind a loopback port");
-        let listeners: Vec<_> = (0..2 * NODES).map(bind).collect();
+        // Concurrent processes begin at different ports.
+        let skipped = std::process::id() as usize % PORTS.len();
+        let ports = PORTS.cycle().skip(skipped).take(PORTS.len());
+        let listeners: Vec<_> = ports
+            .filter_map(|port| std::net::TcpListener::bind(("127.0.0.1", port)).ok())
+            .take(2 * NODES)
+            .collect();
+        assert_eq!(listeners.len(), 2 * NODES, "too few free loopback ports");
         let address =
             |l: &std::net::TcpListener| l.local_addr().expect("local address").to_string();
         let mut api_addresses: Vec<String> = listeners.iter().map(address).collect();
